--- /dev/null
+++ b/src/fleet/plan.ts
@@ -0,0 +1,94 @@
+/** How many machines to rent and which to return: pure. */
+import type { MachineType } from '../wire/model.js';
+
+/** Machines that can stand for each other: like machines are decided as a class. */
+export interface Pool {
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  /** Up or on their way. */
+  count: number;
+  /** The cloud had none left; not asked again before then. */
+  refusedUntil: number;
+}
+
+export interface Demand {
+  /** CPUs of work that needs ordinary machines, waiting or there. */
+  ordinary: number;
+  /** CPUs of work that may use spot machines. */
+  any: number;
+  /** Shapes that some waiting job needs, so that no type is rented which nobody can use. */
+  usable(type: MachineType): boolean;
+}
+
+export interface PlanInput {
+  pools: Pool[];
+  demand: Demand;
+  saveMoney: boolean;
+  spareShare: number;
+  now: number;
+}
+
+export interface Targets {
+  ordinary: number;
+  total: number;
+}
+
+export function targets(d: Demand, saveMoney: boolean, spareShare: number): Targets {
+  if (!saveMoney) {
+    // Nobody counts the money: room for twice the work, so that waves and bursts find machines that are up.
+    const ordinary = d.ordinary > 0 || d.any > 0 ? 2 * (d.ordinary + d.any) + 100 : 0;
+    return { ordinary, total: ordinary };
+  }
+  const ordinary = d.ordinary * (1 + spareShare);
+  return { ordinary, total: ordinary + d.any * (1 + spareShare) };
+}
+
+function capacity(pools: Pool[], spot: boolean): number {
+  return pools.filter((p) => p.spot === spot).reduce((sum, p) => sum + p.count * p.type.cpus, 0);
+}
+
+const MOST_AT_ONCE = 8;
+
+function fill(pools: Pool[], cpus: number, now: number, saveMoney: boolean): Map<Pool, number> {
+  const out = new Map<Pool, number>();
+  const open = pools.filter((p) => p.refusedUntil <= now);
+  for (let missing = cpus; missing > 0 && open.length > 0;) {
+    const price = (p: Pool): number => (p.spot ? p.type.spotPrice : p.type.price) / p.type.cpus;
+    open.sort(
+      (a, b) =>
+        (saveMoney ? price(a) - price(b) : 0) ||
+        a.count + (out.get(a) ?? 0) - (b.count + (out.get(b) ?? 0)) ||
+        b.type.cpus - a.type.cpus,
+    );
+    const p = open[0]!;
+    const n = (out.get(p) ?? 0) + 1;
+    out.set(p, n);
+    if (n >= MOST_AT_ONCE) open.shift();
+    missing -= p.type.cpus;
+  }
+  return out;
+}
+
+export function planRentals(input: PlanInput): Map<Pool, number> {
+  const { demand, now, saveMoney } = input;
+  const pools = input.pools.filter((p) => demand.usable(p.type));
+  const t = targets(demand, saveMoney, input.spareShare);
+  const haveOrdinary = capacity(pools, false);
+  const haveSpot = capacity(pools, true);
+  const ordinary = pools.filter((p) => !p.spot);
+  const spot = pools.filter((p) => p.spot);
+  const out = fill(ordinary, t.ordinary - haveOrdinary, now, saveMoney);
+  const planned = [...out].reduce((sum, [p, n]) => sum + n * p.type.cpus, 0);
+  const missing = t.total - haveOrdinary - haveSpot - planned;
+  const spotPlan = fill(spot, missing, now, saveMoney);
+  let left = missing;
+  for (const [p, n] of spotPlan) {
+    out.set(p, n);
+    left -= n * p.type.cpus;
+  }
+  // What spot machines can't give is rented as ordinary ones.
+  if (left > 0 && spot.every((p) => p.refusedUntil > now))
+    for (const [p, n] of fill(ordinary, left, now, saveMoney)) out.set(p, Math.max(out.get(p) ?? 0, n));
+  return out;
+}
--- /dev/null
+++ b/src/http-server.ts
@@ -0,0 +1,69 @@
+import { type Server, createServer } from 'node:http';
+import express, { type NextFunction, type Request, type Response } from 'express';
+import type { ControllerNode } from './node.js';
+import type { Answer } from './jobs/api.js';
+import { type Body, decodeMap, encode } from './wire/cbor.js';
+import { paths } from './wire/messages.js';
+
+const MAX_BODY = 64 * 1024;
+
+function reply(res: Response, a: Answer): void {
+  if (a.retryAfterS !== undefined) res.set('Retry-After', String(a.retryAfterS));
+  res.status(a.status).type('application/cbor').send(encode(a.body));
+}
+
+function bodyOf(req: Request): Body | null {
+  return Buffer.isBuffer(req.body) ? decodeMap(req.body) : null;
+}
+
+const MALFORMED: Answer = { status: 400, body: { error: 'not a CBOR map' } };
+
+/** Users, workers and health checks. */
+export function httpServer(node: ControllerNode, sockets: number): Server {
+  const app = express();
+  app.disable('x-powered-by');
+  app.disable('etag');
+  app.use(express.raw({ type: () => true, limit: MAX_BODY }));
+  const answer =
+    (f: (req: Request) => Promise<Answer> | Answer) =>
+    (req: Request, res: Response, next: NextFunction): void => {
+      Promise.resolve(f(req)).then((a) => reply(res, a), next);
+    };
+  app.post(
+    paths.report,
+    answer((req) => node.beat(bodyOf(req))),
+  );
+  app.get(paths.health, (_req, res) => {
+    res.status(node.healthy() ? 200 : 503).end();
+  });
+  app.post(
+    paths.jobs,
+    answer((req) => {
+      const body = bodyOf(req);
+      return body ? node.api.submit(body) : MALFORMED;
+    }),
+  );
+  app.get(
+    `${paths.jobs}/:id`,
+    answer((req) => node.api.poll(String(req.params.id))),
+  );
+  app.post(
+    paths.cancel(':id'),
+    answer((req) => node.api.cancel(String(req.params.id))),
+  );
+  app.use((_req: Request, res: Response) => reply(res, { status: 404, body: { error: 'no such path' } }));
+  // Whatever is wrong with a request (too large, cut short, badly encoded), it harms that request alone.
+  app.use((err: { status?: number }, _req: Request, res: Response, _next: NextFunction) => {
+    const client = err.status !== undefined && err.status >= 400 && err.status < 500;
+    reply(
+      res,
+      client
+        ? { status: 400, body: { error: 'malformed request' } }
+        : { status: 503, body: {}, retryAfterS: 1 },
+    );
+  });
+  const server = createServer(app);
+  server.keepAliveTimeout = 10 * 60_000;
+  server.maxConnections = sockets;
+  return server;
+}
--- /dev/null
+++ b/src/jobs/api.ts
@@ -0,0 +1,157 @@
+import type { PlatformSettings } from '../settings/platform.js';
+import type { StateStore } from '../state-store/client.js';
+import type { Body } from '../wire/cbor.js';
+import type { JobSpec, MachineType } from '../wire/model.js';
+import { isJobId, jobAnswer, readJob } from '../wire/messages.js';
+import { type LiveRecord, endedKey, liveKey, readEnded, readLive } from './records.js';
+
+export interface Answer {
+  status: number;
+  body: Body;
+  retryAfterS?: number;
+}
+
+export interface Progress {
+  done: number;
+  running: number;
+}
+
+export interface JobsApiDeps {
+  settings: Pick<PlatformSettings, 'teams'>;
+  store: StateStore;
+  /** Null while the catalog is not known. */
+  types(): MachineType[] | null;
+  /** For display: what the leader last told of a job. */
+  progress(id: string): Progress | undefined;
+  wallMs(): number;
+}
+
+type Known =
+  | { kind: 'live'; record: LiveRecord; version: number }
+  | { kind: 'ended'; state: 'done' | 'cancelled'; tasks: number }
+  | { kind: 'absent' }
+  | { kind: 'refused' };
+
+const ENDED_CACHE = 5000;
+const LATER: Answer = { status: 503, body: { error: 'state service not reached' }, retryAfterS: 1 };
+
+/** Users' requests. Any node serves them: each answer rests on a fresh read or a guarded write. */
+export class JobsApi {
+  /** Only ended jobs are kept in memory: they never change again. */
+  private readonly ended = new Map<string, { state: 'done' | 'cancelled'; tasks: number }>();
+
+  constructor(private readonly deps: JobsApiDeps) {}
+
+  /** Null, or why the job can never run. */
+  private impossible(j: JobSpec, types: MachineType[]): string | null {
+    const team = this.deps.settings.teams.find((t) => t.name === j.team);
+    if (!team) return 'unknown team';
+    const fits = types.some(
+      (t) =>
+        (j.types === null || j.types.includes(t.name)) &&
+        (j.zone === null || t.zones.includes(j.zone)) &&
+        t.cpus >= j.cpus &&
+        t.gpus >= j.gpus &&
+        t.memoryGb >= j.memoryGb,
+    );
+    if (!fits) return 'a task fits no allowed machine type';
+    if (j.spread && j.tasks > 1) {
+      const apart = j.zone === null && !j.oneZone;
+      if (!apart && j.tasks > Math.ceil(j.tasks / 2)) return 'tasks must be both apart and in one zone';
+    }
+    const atOnce = j.kind === 'service' ? j.tasks : 1;
+    if (j.cpus * atOnce > team.cpusMax || j.gpus * atOnce > team.gpusMax) return "over the team's limit";
+    return null;
+  }
+
+  private rememberEnded(id: string, e: { state: 'done' | 'cancelled'; tasks: number }): void {
+    if (this.ended.size >= ENDED_CACHE) this.ended.delete(this.ended.keys().next().value!);
+    this.ended.set(id, e);
+  }
+
+  /**
+   * The live record is read first. A job moves from live to ended in one transaction, so one that is missing
+   * from both, read in this order, was never accepted; the other order could miss a job on its way.
+   */
+  private async look(id: string): Promise<Known> {
+    const cached = this.ended.get(id);
+    if (cached) return { kind: 'ended', ...cached };
+    const live = await this.deps.store.get(liveKey(id));
+    if (live.kind === 'refused') return { kind: 'refused' };
+    if (live.kind === 'found') {
+      const record = readLive(live.pair.value);
+      return record ? { kind: 'live', record, version: live.pair.version } : { kind: 'refused' };
+    }
+    const ended = await this.deps.store.get(endedKey(id));
+    if (ended.kind === 'refused') return { kind: 'refused' };
+    if (ended.kind === 'absent') return { kind: 'absent' };
+    const record = readEnded(ended.pair.value);
+    if (!record) return { kind: 'refused' };
+    this.rememberEnded(id, record);
+    return { kind: 'ended', ...record };
+  }
+
+  private describe(id: string, k: Known): Answer {
+    switch (k.kind) {
+      case 'refused':
+        return LATER;
+      case 'absent':
+        return { status: 404, body: { error: 'no such job' } };
+      case 'ended':
+        return { status: 200, body: jobAnswer(id, k.state, k.state === 'done' ? k.tasks : 0, 0) };
+      case 'live': {
+        if (k.record.cancelled) return { status: 200, body: jobAnswer(id, 'cancelled', 0, 0) };
+        const p = this.deps.progress(id);
+        const state = p && p.running > 0 ? 'running' : 'pending';
+        return { status: 200, body: jobAnswer(id, state, p?.done ?? 0, p?.running ?? 0) };
+      }
+    }
+  }
+
+  async submit(body: Body): Promise<Answer> {
+    const job = readJob(body);
+    if (typeof job === 'string') return { status: 400, body: { error: `missing or invalid: ${job}` } };
+    const types = this.deps.types();
+    if (!types) return { status: 503, body: { error: 'machine types not known yet' }, retryAfterS: 1 };
+    const reason = this.impossible(job, types);
+    if (reason !== null) {
+      // Types can change: a repeat of a job that was accepted gets its state, whatever we would say today.
+      const known = await this.look(job.id);
+      if (known.kind === 'absent') return { status: 422, body: { error: reason } };
+      return this.describe(job.id, known);
+    }
+    if (this.ended.has(job.id)) return this.describe(job.id, await this.look(job.id));
+    const record: LiveRecord = { spec: job, at: this.deps.wallMs(), cancelled: false };
+    const t = await this.deps.store.txn(
+      [
+        { key: liveKey(job.id), version: 0 },
+        { key: endedKey(job.id), version: 0 },
+      ],
+      [{ put: liveKey(job.id), value: record }],
+    );
+    if (t.kind === 'applied') return { status: 201, body: jobAnswer(job.id, 'pending') };
+    if (t.kind !== 'conflict') return LATER;
+    return this.describe(job.id, await this.look(job.id));
+  }
+
+  async poll(id: string): Promise<Answer> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    return this.describe(id, await this.look(id));
+  }
+
+  async cancel(id: string): Promise<Answer> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    for (let tries = 0; tries < 4; tries++) {
+      const k = await this.look(id);
+      if (k.kind !== 'live') return this.describe(id, k);
+      if (k.record.cancelled) return { status: 200, body: jobAnswer(id, 'cancelled') };
+      const t = await this.deps.store.txn(
+        [{ key: liveKey(id), version: k.version }],
+        [{ put: liveKey(id), value: { ...k.record, cancelled: true } }],
+      );
+      if (t.kind === 'applied') return { status: 200, body: jobAnswer(id, 'cancelled') };
+      if (t.kind !== 'conflict') return LATER;
+    }
+    return LATER;
+  }
+}
--- /dev/null
+++ b/src/jobs/book.ts
@@ -0,0 +1,149 @@
+import type { JobSpec } from '../wire/model.js';
+import type { Entry } from '../workers/table.js';
+import { CHUNK } from './records.js';
+
+/** One live job in the leader's tables. */
+export class Job {
+  cancelled = false;
+  readonly finished: Uint8Array;
+  finishedCount = 0;
+  /** Chunks of `finished` with numbers not yet durable, and when the oldest of them came. */
+  readonly dirty = new Map<number, number>();
+  /** Entries that may be on a machine, by task number; normally one each. */
+  readonly held = new Map<number, Entry[]>();
+  private readonly returned: number[] = [];
+  private readonly isReturned = new Set<number>();
+  private cursor = 0;
+  private waiting: number;
+  /** After failures the job's next start waits until then. */
+  notBefore = 0;
+  failures = 0;
+  /** Machines (by index) on which a task of this job failed since one last succeeded. */
+  readonly failedOn = new Set<number>();
+  /** Tasks moved once already: a task moves at most once. */
+  readonly moved = new Set<number>();
+  readonly key: string;
+  ended: 'no' | 'writing' | 'yes' = 'no';
+
+  constructor(
+    /** Dense index, given at the door. */
+    readonly idx: number,
+    readonly spec: JobSpec,
+    public version: number,
+    /** Accepted at this time of day. */
+    readonly at: number,
+    /** Surely created after the leader's claim: no former leader can have started any task of it. */
+    readonly fresh: boolean,
+  ) {
+    this.finished = new Uint8Array(Math.ceil(spec.tasks / 8));
+    this.waiting = spec.tasks;
+    const s = spec;
+    this.key = [s.cpus, s.gpus, s.memoryGb, s.types?.join('+'), s.zone, s.spot, s.kind, s.priority].join('|');
+  }
+
+  isFinished(num: number): boolean {
+    return (this.finished[num >> 3]! & (1 << (num & 7))) !== 0;
+  }
+
+  /** Tasks that are neither finished nor possibly on a machine. */
+  pending(): number {
+    return this.cancelled ? 0 : this.waiting;
+  }
+
+  loadFinished(chunk: number, bits: Uint8Array): void {
+    for (let i = 0; i < bits.length * 8; i++) {
+      const num = chunk * CHUNK + i;
+      if (num < this.spec.tasks && (bits[i >> 3]! & (1 << (i & 7))) !== 0) this.setFinished(num);
+    }
+  }
+
+  private setFinished(num: number): boolean {
+    if (this.isFinished(num)) return false;
+    this.finished[num >> 3]! |= 1 << (num & 7);
+    this.finishedCount++;
+    if (!this.held.has(num)) this.waiting--;
+    return true;
+  }
+
+  finish(num: number, now: number): void {
+    if (num >= this.spec.tasks || !this.setFinished(num)) return;
+    const chunk = Math.floor(num / CHUNK);
+    if (!this.dirty.has(chunk)) this.dirty.set(chunk, now);
+  }
+
+  isDurable(num: number): boolean {
+    return this.ended === 'yes' || (this.isFinished(num) && !this.dirty.has(Math.floor(num / CHUNK)));
+  }
+
+  complete(): boolean {
+    return this.finishedCount === this.spec.tasks;
+  }
+
+  hold(e: Entry): void {
+    const list = this.held.get(e.num);
+    if (list) {
+      list.push(e);
+      return;
+    }
+    this.held.set(e.num, [e]);
+    if (!this.isFinished(e.num)) this.waiting--;
+  }
+
+  release(e: Entry): void {
+    const list = this.held.get(e.num);
+    const i = list?.indexOf(e) ?? -1;
+    if (!list || i < 0) return;
+    list.splice(i, 1);
+    if (list.length > 0) return;
+    this.held.delete(e.num);
+    if (this.isFinished(e.num)) return;
+    this.waiting++;
+    if (e.num < this.cursor && !this.isReturned.has(e.num)) {
+      this.isReturned.add(e.num);
+      this.returned.push(e.num);
+    }
+  }
+
+  /** A task to start next, or -1. The caller holds it or gives it back by not taking it. */
+  next(): number {
+    while (this.returned.length > 0) {
+      const num = this.returned[this.returned.length - 1]!;
+      if (!this.isFinished(num) && !this.held.has(num)) return num;
+      this.returned.pop();
+      this.isReturned.delete(num);
+    }
+    while (this.cursor < this.spec.tasks) {
+      if (!this.isFinished(this.cursor) && !this.held.has(this.cursor)) return this.cursor;
+      this.cursor++;
+    }
+    return -1;
+  }
+}
+
+/** The leader's live jobs. */
+export class JobBook {
+  private readonly byId = new Map<string, Job>();
+  private nextIdx = 0;
+
+  all(): IterableIterator<Job> {
+    return this.byId.values();
+  }
+
+  size(): number {
+    return this.byId.size;
+  }
+
+  get(id: string): Job | undefined {
+    return this.byId.get(id);
+  }
+
+  add(spec: JobSpec, version: number, at: number, fresh: boolean): Job {
+    const job = new Job(this.nextIdx++, spec, version, at, fresh);
+    this.byId.set(spec.id, job);
+    return job;
+  }
+
+  remove(job: Job): void {
+    this.byId.delete(job.spec.id);
+  }
+}
--- /dev/null
+++ b/src/jobs/finisher.ts
@@ -0,0 +1,107 @@
+import type { World } from '../runtime.js';
+import type { StateStore } from '../state-store/client.js';
+import type { Change, Guard } from '../wire/messages.js';
+import type { Job, JobBook } from './book.js';
+import { endedKey, finishedKey, liveKey, packFinished } from './records.js';
+
+export interface FinisherDeps {
+  world: World;
+  store: StateStore;
+  book: JobBook;
+  txnOps: number;
+  leads(): boolean;
+  leaderGuard(): Guard;
+  /** A cancelled job may end once nothing of it can be anywhere. */
+  surelyEmpty(job: Job): boolean;
+  ended(job: Job): void;
+}
+
+const PARTIAL_MS = 1500;
+
+/** Makes the leader's knowledge of finished tasks durable: compact, in batches, the ends of jobs first. */
+export class Finisher {
+  private busy = false;
+  private readonly written = new Map<number, Set<number>>();
+  private readonly notBefore = new Map<number, number>();
+
+  constructor(private readonly deps: FinisherDeps) {}
+
+  noteWritten(job: Job, chunk: number): void {
+    let s = this.written.get(job.idx);
+    if (!s) this.written.set(job.idx, (s = new Set()));
+    s.add(chunk);
+  }
+
+  private endChanges(job: Job): Change[] {
+    const chunks = [...(this.written.get(job.idx) ?? [])];
+    const value = { state: job.cancelled ? 'cancelled' : 'done', tasks: job.spec.tasks };
+    return [
+      { remove: liveKey(job.spec.id) },
+      { put: endedKey(job.spec.id), value },
+      ...chunks.map((c): Change => ({ remove: finishedKey(job.spec.id, c) })),
+    ];
+  }
+
+  tick(): void {
+    if (this.busy || !this.deps.leads()) return;
+    const now = this.deps.world.clock.now();
+    const jobs: Job[] = [];
+    const guards: Guard[] = [this.deps.leaderGuard()];
+    const changes: Change[] = [];
+    const ends: Job[] = [];
+    const flushed: { job: Job; chunk: number; count: number }[] = [];
+    const room = (n: number): boolean =>
+      changes.length + n <= this.deps.txnOps && guards.length < this.deps.txnOps * 4 - 1;
+    for (const job of this.deps.book.all()) {
+      const over = job.cancelled ? this.deps.surelyEmpty(job) : job.complete();
+      if (!over || job.ended !== 'no' || (this.notBefore.get(job.idx) ?? 0) > now) continue;
+      const end = this.endChanges(job);
+      if (!room(end.length)) break;
+      changes.push(...end);
+      guards.push({ key: liveKey(job.spec.id), version: job.version });
+      ends.push(job);
+      jobs.push(job);
+    }
+    for (const job of this.deps.book.all()) {
+      if (job.cancelled || job.complete() || (this.notBefore.get(job.idx) ?? 0) > now) continue;
+      for (const [chunk, since] of job.dirty) {
+        if (now - since < PARTIAL_MS || !room(1)) continue;
+        changes.push({ put: finishedKey(job.spec.id, chunk), value: packFinished(job.finished, chunk) });
+        if (!jobs.includes(job)) {
+          guards.push({ key: liveKey(job.spec.id), version: job.version });
+          jobs.push(job);
+        }
+        flushed.push({ job, chunk, count: job.finishedCount });
+      }
+    }
+    if (changes.length === 0) return;
+    this.busy = true;
+    for (const j of ends) j.ended = 'writing';
+    // Marked before the answer: a record written without an answer must be removed with the job, too.
+    for (const f of flushed) this.noteWritten(f.job, f.chunk);
+    void this.deps.store.txn(guards, changes).then((r) => {
+      this.busy = false;
+      const t = this.deps.world.clock.now();
+      const ok = r.kind === 'applied';
+      for (const j of ends) j.ended = ok ? 'yes' : 'no';
+      if (ok) {
+        // Until here the numbers stay dirty, so that nothing is forgotten by a machine before it is durable.
+        for (const f of flushed) {
+          if (f.job.finishedCount === f.count) f.job.dirty.delete(f.chunk);
+          else f.job.dirty.set(f.chunk, t);
+        }
+        for (const j of ends) {
+          this.written.delete(j.idx);
+          this.notBefore.delete(j.idx);
+          this.deps.ended(j);
+        }
+        return;
+      }
+      // A conflict or a lost answer: the watch tells what became of these jobs; no hurry meanwhile.
+      const failed = r.kind === 'conflict' ? new Set(r.failed) : null;
+      for (const j of jobs)
+        if (!failed || failed.has(liveKey(j.spec.id)))
+          this.notBefore.set(j.idx, t + (r.kind === 'refused' ? 200 : 700));
+    });
+  }
+}
--- /dev/null
+++ b/src/leadership/duty.ts
@@ -0,0 +1,362 @@
+/** What the leader does, for the time of one claim. A new claim starts with empty tables. */
+import type { OperatorSettings } from '../settings/operator.js';
+import { type PlatformSettings, moneyCounts } from '../settings/platform.js';
+import { type World, sleep } from '../runtime.js';
+import type { StateStore } from '../state-store/client.js';
+import { Cloud } from '../fleet/cloud.js';
+import { Fleet } from '../fleet/fleet.js';
+import type { Demand } from '../fleet/plan.js';
+import { type Job, JobBook } from '../jobs/book.js';
+import type { Progress } from '../jobs/api.js';
+import { Finisher } from '../jobs/finisher.js';
+import { FINISHED, LIVE, readLive, unpackFinished } from '../jobs/records.js';
+import { Placement } from '../placement/placement.js';
+import { MachineRegistry, readMachineRecords } from '../workers/registry.js';
+import { OrderSender, pendingStops } from '../workers/orders.js';
+import { type Entry, type Machine, MachineTable } from '../workers/table.js';
+import type { MachineType, Order, WorkerReport } from '../wire/model.js';
+import type { Guard, News } from '../wire/messages.js';
+import { type Claim, TOKEN_SPAN } from './leadership.js';
+
+export interface DutyDeps {
+  world: World;
+  settings: PlatformSettings;
+  operator: OperatorSettings;
+  store: StateStore;
+  types: MachineType[];
+  wallMs(): number;
+  leads(): boolean;
+  guard(): Guard;
+  handOver(why: string): void;
+}
+
+const TICK_MS = 200;
+const WATCH_MS = 10_000;
+
+/** rebuilding: reading the records. serving: acting. over: the claim has ended, nothing may be done any more. */
+type DutyState = 'rebuilding' | 'serving' | 'over';
+
+export class LeaderDuty {
+  private state: DutyState = 'rebuilding';
+  private readonly baseToken: number;
+  private readonly book = new JobBook();
+  private readonly table: MachineTable;
+  private readonly sender: OrderSender;
+  private readonly registry: MachineRegistry;
+  private readonly finisher: Finisher;
+  private readonly fleet: Fleet;
+  private readonly placement: Placement;
+  private requests = 0;
+  private woken = false;
+  private heardAt: number;
+  private everyoneKnown = false;
+
+  constructor(
+    private readonly deps: DutyDeps,
+    private readonly claim: Claim,
+  ) {
+    const { world, settings, operator, store } = deps;
+    const leads = (): boolean => this.state === 'serving' && deps.leads();
+    this.baseToken = claim.revision * TOKEN_SPAN;
+    this.heardAt = world.clock.now();
+    this.table = new MachineTable(this.baseToken, settings.leaseS * 1000, (id) => this.book.get(id), {
+      held: (e) => this.placement.held(e),
+      left: (e) => {
+        this.placement.left(e);
+        this.wake();
+      },
+    });
+    this.sender = new OrderSender({
+      world,
+      table: this.table,
+      leads,
+      timeoutMs: operator.command_timeout_ms,
+      report: (m, r) => this.applyReport(m, r),
+    });
+    this.registry = new MachineRegistry({
+      world,
+      store,
+      table: this.table,
+      txnOps: settings.txnOps,
+      leads,
+      leaderGuard: deps.guard,
+      stored: () => this.wake(),
+    });
+    this.finisher = new Finisher({
+      world,
+      store,
+      book: this.book,
+      txnOps: settings.txnOps,
+      leads,
+      leaderGuard: deps.guard,
+      surelyEmpty: (job) => (job.fresh || this.everyoneKnown) && job.held.size === 0,
+      ended: (job) => {
+        this.book.remove(job);
+        this.placement.ended(job);
+        this.wake();
+      },
+    });
+    this.fleet = new Fleet({
+      world,
+      cloud: new Cloud(world, settings.cloud, settings.cloudRps),
+      table: this.table,
+      operator,
+      types: deps.types,
+      saveMoney: moneyCounts(settings),
+      reportS: settings.reportS,
+      listLagS: settings.listLagS,
+      requestName: () => `${settings.node}-${claim.revision}-${this.requests++}`,
+      leads,
+      demand: () => this.demand(),
+      gone: (m) => {
+        this.table.remove(m, world.clock.now());
+        this.registry.removed(m);
+        this.wake();
+      },
+    });
+    this.placement = new Placement({
+      world,
+      settings,
+      operator,
+      book: this.book,
+      table: this.table,
+      attemptBase: this.baseToken,
+      oldJobsOpen: () => this.everyoneKnown,
+      isSilent: (m) => this.fleet.isSilent(m, world.clock.now()),
+    });
+  }
+
+  private become(next: DutyState): void {
+    this.deps.world.log.info({ from: this.state, to: next }, 'duty');
+    this.state = next;
+  }
+
+  end(): void {
+    this.become('over');
+  }
+
+  /** After a pause nobody else can have led: the tables still stand, but silence meanwhile means nothing. */
+  resumed(): void {
+    const now = this.deps.world.clock.now();
+    this.heardAt = now;
+    for (const m of this.table.all()) m.heardAt = Math.max(m.heardAt, now);
+    this.wake();
+  }
+
+  async run(): Promise<void> {
+    const { world, store } = this.deps;
+    let since = -1;
+    while (this.state === 'rebuilding' && since < 0) {
+      const machines = await store.scan('m/');
+      const jobs = machines && (await store.scan(LIVE));
+      const finished = jobs && (await store.scan(FINISHED));
+      if (this.state !== 'rebuilding') return;
+      if (!machines || !jobs || !finished) {
+        await sleep(world.clock, 200);
+        continue;
+      }
+      const now = world.clock.now();
+      for (const r of readMachineRecords(machines.pairs)) {
+        const type = this.deps.types.find((t) => t.name === r.type);
+        if (!type) continue;
+        const m = this.table.add(r.id, r.endpoint, type, r.zone, r.spot, now);
+        m.stored = true;
+        m.suspect = true;
+      }
+      for (const p of jobs.pairs) this.takeJob(p.key.slice(LIVE.length), p.value, p.version);
+      for (const p of finished.pairs) {
+        const [id, chunk] = p.key.slice(FINISHED.length).split('/');
+        const job = this.book.get(id!);
+        if (!job) continue;
+        this.finisher.noteWritten(job, Number(chunk));
+        job.loadFinished(Number(chunk), unpackFinished(p.value));
+      }
+      since = jobs.revision;
+    }
+    if (this.state !== 'rebuilding') return;
+    this.become('serving');
+    this.heardAt = world.clock.now();
+    for (const m of this.table.all()) this.sender.flush(m, true);
+    void this.watchJobs(since);
+    this.tick();
+  }
+
+  private takeJob(id: string, value: unknown, version: number): void {
+    const r = readLive(value);
+    if (!r || r.spec.id !== id) return;
+    const known = this.book.get(id);
+    if (known && known.version >= version) return;
+    const job = known ?? this.book.add(r.spec, version, r.at, version > this.claim.revision && !r.cancelled);
+    job.version = version;
+    if (r.cancelled && !job.cancelled) {
+      job.cancelled = true;
+      this.placement.cancelled(job);
+    }
+  }
+
+  private async watchJobs(since: number): Promise<void> {
+    const { store, world } = this.deps;
+    while (this.state === 'serving') {
+      const w = await store.watch(LIVE, since, WATCH_MS);
+      if (this.state !== 'serving') return;
+      if (w.kind === 'news') {
+        since = Math.max(since, w.revision);
+        for (const n of w.news) this.takeNews(n);
+        if (w.news.length > 0) this.wake();
+      } else if (w.kind === 'refused') {
+        await sleep(world.clock, 200);
+      } else {
+        const all = await store.scan(LIVE);
+        if (!all) continue;
+        const live = new Set(all.pairs.map((p) => p.key));
+        for (const job of [...this.book.all()])
+          if (!live.has(LIVE + job.spec.id) && job.version <= all.revision) this.jobRemoved(job);
+        for (const p of all.pairs) this.takeJob(p.key.slice(LIVE.length), p.value, p.version);
+        since = all.revision;
+        this.wake();
+      }
+    }
+  }
+
+  private takeNews(n: News): void {
+    const id = n.key.slice(LIVE.length);
+    if (!n.gone) {
+      this.takeJob(id, n.value, n.version);
+      return;
+    }
+    const job = this.book.get(id);
+    if (job && job.version < n.version) this.jobRemoved(job);
+  }
+
+  /** Only a leader removes live records, once all is done: here our own write, whose answer was lost. */
+  private jobRemoved(job: Job): void {
+    job.ended = 'yes';
+    this.book.remove(job);
+    this.placement.ended(job);
+  }
+
+  private demand(): Demand {
+    let [ordinary, any] = [0, 0];
+    const waiting: Job[] = [];
+    for (const job of this.book.all()) {
+      if (job.cancelled) continue;
+      const cpus = this.placement.wantedCpus(job);
+      if (job.spec.spot) any += cpus;
+      else ordinary += cpus;
+      waiting.push(job);
+    }
+    const usable = (t: MachineType): boolean =>
+      waiting.some(
+        ({ spec: s }) =>
+          (s.types === null || s.types.includes(t.name)) &&
+          s.cpus <= t.cpus &&
+          s.gpus <= t.gpus &&
+          s.memoryGb <= t.memoryGb,
+      );
+    return { ordinary, any, usable };
+  }
+
+  /** Events come in bunches: one pass serves them all. */
+  private wake(): void {
+    if (this.woken || this.state !== 'serving') return;
+    this.woken = true;
+    this.deps.world.clock.after(4, () => {
+      this.woken = false;
+      this.act();
+    });
+  }
+
+  private act(): void {
+    if (this.state !== 'serving' || !this.deps.leads()) return;
+    this.placement.pass();
+    for (const m of this.table.all()) this.sender.flush(m, (m.stored || m.reported) && !m.certain());
+  }
+
+  private tick(): void {
+    if (this.state === 'over') return;
+    const { world, settings } = this.deps;
+    if (this.state === 'serving' && this.deps.leads()) {
+      const now = world.clock.now();
+      for (const m of this.table.all()) {
+        if ((m.reported || m.suspect) && this.table.leaseOver(m, now)) {
+          world.log.info({ id: m.id }, 'worker lease has run out');
+          this.table.expire(m, now);
+        }
+      }
+      this.checkEveryone();
+      this.registry.tick();
+      this.finisher.tick();
+      this.fleet.tick();
+      this.placement.round();
+      this.act();
+      const quiet = now - this.heardAt;
+      if (this.table.size() > 0 && this.anyKnown() && quiet > Math.max(4000, settings.reportS * 2500))
+        this.deps.handOver('no worker is heard');
+    }
+    world.clock.after(TICK_MS, () => this.tick());
+  }
+
+  private anyKnown(): boolean {
+    for (const m of this.table.all()) if (m.stored) return true;
+    return false;
+  }
+
+  /** Old jobs are acted on once every machine stored before our claim has spoken, is gone, or is past its lease. */
+  private checkEveryone(): void {
+    if (this.everyoneKnown) return;
+    for (const m of this.table.all()) {
+      if (m.suspect && m.certain()) m.suspect = false;
+      if (m.suspect) return;
+    }
+    this.everyoneKnown = true;
+    this.deps.world.log.info(
+      { machines: this.table.size(), jobs: this.book.size() },
+      'every machine is known',
+    );
+    this.wake();
+  }
+
+  private applyReport(m: Machine, r: WorkerReport): void {
+    const now = this.deps.world.clock.now();
+    const fresh = r.session > m.session || (r.session === m.session && r.seq > m.seq);
+    if (!fresh) return;
+    m.heardAt = now;
+    this.heardAt = now;
+    this.table.apply(m, r, now);
+    this.placement.reported(m);
+    this.checkEveryone();
+    this.wake();
+  }
+
+  /** A worker's report: the answer's token and orders, or null if this node may not answer. */
+  beat(r: WorkerReport): { token: number; orders: Order[] } | null {
+    if (!this.deps.leads()) return null;
+    const now = this.deps.world.clock.now();
+    if (this.state !== 'serving') return { token: this.baseToken, orders: [] };
+    if (this.fleet.isGone(r.machine)) return { token: this.baseToken, orders: [] };
+    let m = this.table.get(r.machine);
+    if (!m) {
+      const type = this.deps.types.find((t) => t.name === r.type);
+      if (!type) return null;
+      m = this.table.add(r.machine, r.endpoint, type, r.zone, r.spot, now);
+    }
+    m.renewedAt = now;
+    this.applyReport(m, r);
+    return { token: this.table.token(m), orders: m.stored ? pendingStops(m) : [] };
+  }
+
+  progress(): [string, Progress][] {
+    return [...this.book.all()].map((j) => [j.spec.id, this.progressOf(j)]);
+  }
+
+  private progressOf(job: Job): Progress {
+    let running = 0;
+    for (const list of job.held.values()) if (list.some((e: Entry) => e.state === 'running')) running++;
+    return { done: job.finishedCount, running };
+  }
+
+  progressFor(id: string): Progress | undefined {
+    const job = this.book.get(id);
+    return job && this.progressOf(job);
+  }
+}
--- /dev/null
+++ b/src/node.ts
@@ -0,0 +1,125 @@
+/** One controller node: what it answers, apart from sockets, so that tests can run whole clusters in a simulation. */
+import type { OperatorSettings } from './settings/operator.js';
+import type { PlatformSettings } from './settings/platform.js';
+import { type World, sleep } from './runtime.js';
+import { Cloud } from './fleet/cloud.js';
+import { type Answer, JobsApi, type Progress } from './jobs/api.js';
+import { LeaderDuty } from './leadership/duty.js';
+import { Leadership } from './leadership/leadership.js';
+import type { PeerMessage } from './peers/peers.js';
+import { StateStore } from './state-store/client.js';
+import type { Body } from './wire/cbor.js';
+import { catalogBody, readReport, readTypes, redirectBody, reportAnswer } from './wire/messages.js';
+import type { MachineType } from './wire/model.js';
+
+const TYPES_KEY = 'catalog';
+const PROGRESS_MS = 700;
+
+export class ControllerNode {
+  readonly api: JobsApi;
+  readonly leadership: Leadership;
+  private readonly store: StateStore;
+  private readonly cloud: Cloud;
+  private duty: LeaderDuty | null = null;
+  private types: MachineType[] | null = null;
+  private progress = new Map<string, Progress>();
+
+  constructor(
+    private readonly world: World,
+    private readonly settings: PlatformSettings,
+    private readonly operator: OperatorSettings,
+    private readonly wallMs: () => number,
+    private readonly tellPeers: (m: PeerMessage) => void,
+  ) {
+    this.store = new StateStore(world, {
+      address: settings.state,
+      nodes: settings.nodes,
+      rps: settings.stateRps,
+      writeRps: settings.stateWriteRps,
+    });
+    this.cloud = new Cloud(world, settings.cloud, settings.cloudRps);
+    this.leadership = new Leadership(world, settings, operator.leader_lease_ms, this.store, {
+      elected: () => this.startDuty(),
+      deposed: () => {
+        this.duty?.end();
+        this.duty = null;
+      },
+      resumed: () => this.duty?.resumed(),
+    });
+    this.api = new JobsApi({
+      settings,
+      store: this.store,
+      types: () => this.types,
+      progress: (id) => this.duty?.progressFor(id) ?? this.progress.get(id),
+      wallMs,
+    });
+  }
+
+  run(): void {
+    void this.learnTypes().then(() => this.leadership.run());
+    this.tellProgress();
+  }
+
+  healthy(): boolean {
+    return this.types !== null;
+  }
+
+  private startDuty(): void {
+    const { world, settings, operator, store, wallMs, leadership } = this;
+    const claim = leadership.current()!;
+    this.duty = new LeaderDuty(
+      {
+        world,
+        settings,
+        operator,
+        store,
+        types: this.types!,
+        wallMs,
+        leads: () => leadership.leads() && leadership.current() === claim,
+        guard: () => leadership.guard(),
+        handOver: (why) => void leadership.handOver(why),
+      },
+      claim,
+    );
+    void this.duty.run();
+  }
+
+  /** The catalog, from the cloud, or as a node last kept it when the cloud can't be reached. */
+  private async learnTypes(): Promise<void> {
+    while (this.types === null) {
+      const kept = await this.store.get(TYPES_KEY);
+      if (kept.kind === 'found') {
+        this.types = readTypes(kept.pair.value as Body);
+        if (this.types) return;
+      }
+      const fresh = await this.cloud.types();
+      if (fresh) {
+        this.types = fresh;
+        void this.store.txn([], [{ put: TYPES_KEY, value: catalogBody(fresh) }]);
+        return;
+      }
+      await sleep(this.world.clock, 300 + this.world.random() * 300);
+    }
+  }
+
+  private tellProgress(): void {
+    if (this.duty && this.leadership.leads())
+      this.tellPeers({ t: 'progress', from: this.settings.node, jobs: this.duty.progress() });
+    this.world.clock.after(PROGRESS_MS, () => this.tellProgress());
+  }
+
+  peerMessage(m: PeerMessage): void {
+    if (m.t === 'progress' && !this.duty) this.progress = new Map(m.jobs);
+  }
+
+  /** A worker's report. Only the leader answers 200: anything else would hold the worker while its lease runs out. */
+  beat(body: Body | null): Answer {
+    const report = body && readReport(body);
+    if (!report) return { status: 400, body: { error: 'not a report' } };
+    const answer = this.leadership.leads() ? this.duty?.beat(report) : undefined;
+    if (answer) return { status: 200, body: reportAnswer(answer.token, answer.orders) };
+    const leader = this.leadership.leader();
+    if (leader === null || leader === this.settings.node) return { status: 503, body: {}, retryAfterS: 1 };
+    return { status: 421, body: redirectBody(leader) };
+  }
+}
--- /dev/null
+++ b/src/peers/peers.ts
@@ -0,0 +1,94 @@
+/** What controllers tell each other, by msgpackr over TCP. Nothing here is needed for a rule to hold. */
+import { type Server, type Socket, connect, createServer } from 'node:net';
+import { Packr } from 'msgpackr';
+import { type Observable, Subject } from 'rxjs';
+import type { World } from '../runtime.js';
+
+export type PeerMessage =
+  | { t: 'progress'; from: string; jobs: [string, { done: number; running: number }][] }
+  | { t: 'health'; from: string; state: boolean };
+
+const packr = new Packr({ useRecords: false });
+const MAX_FRAME = 4 * 1024 * 1024;
+
+export function frame(m: PeerMessage): Buffer {
+  const body = packr.pack(m);
+  const head = Buffer.alloc(4);
+  head.writeUInt32BE(body.length);
+  return Buffer.concat([head, body]);
+}
+
+/** Cuts a stream of bytes into messages; a frame that is too long or unreadable ends the connection. */
+export class Deframer {
+  private rest: Buffer = Buffer.alloc(0);
+
+  push(bytes: Buffer): PeerMessage[] | null {
+    this.rest = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
+    const out: PeerMessage[] = [];
+    while (this.rest.length >= 4) {
+      const length = this.rest.readUInt32BE(0);
+      if (length > MAX_FRAME) return null;
+      if (this.rest.length < 4 + length) break;
+      try {
+        out.push(packr.unpack(this.rest.subarray(4, 4 + length)) as PeerMessage);
+      } catch {
+        return null;
+      }
+      this.rest = this.rest.subarray(4 + length);
+    }
+    return out;
+  }
+}
+
+const RETRY_MS = 1000;
+const MAX_QUEUED = 1024 * 1024;
+
+export class Peers {
+  private readonly incoming = new Subject<PeerMessage>();
+  readonly messages: Observable<PeerMessage> = this.incoming.asObservable();
+  private readonly out = new Map<string, Socket>();
+  private server: Server | null = null;
+
+  constructor(
+    private readonly world: World,
+    private readonly bind: string,
+    private readonly addresses: string[],
+  ) {}
+
+  run(): void {
+    const [host, port] = this.bind.split(':');
+    this.server = createServer((s) => this.receive(s));
+    this.server.on('error', (e) => this.world.log.error({ err: e.message }, 'peer listener'));
+    this.server.listen(Number(port), host);
+    for (const a of this.addresses) this.dial(a);
+  }
+
+  private receive(socket: Socket): void {
+    const deframer = new Deframer();
+    socket.on('error', () => socket.destroy());
+    socket.setTimeout(30_000, () => socket.destroy());
+    socket.on('data', (bytes) => {
+      const messages = deframer.push(bytes as Buffer);
+      if (!messages) socket.destroy();
+      else for (const m of messages) this.incoming.next(m);
+    });
+  }
+
+  private dial(address: string): void {
+    const [host, port] = address.split(':');
+    const socket = connect({ host: host!, port: Number(port) });
+    socket.setNoDelay(true);
+    socket.on('connect', () => this.out.set(address, socket));
+    socket.on('error', () => socket.destroy());
+    socket.setTimeout(5000, () => socket.destroy());
+    socket.on('close', () => {
+      this.out.delete(address);
+      this.world.clock.after(RETRY_MS, () => this.dial(address));
+    });
+  }
+
+  broadcast(m: PeerMessage): void {
+    const bytes = frame(m);
+    for (const s of this.out.values()) if (s.writableLength < MAX_QUEUED) s.write(bytes);
+  }
+}
--- /dev/null
+++ b/src/placement/placement.ts
@@ -0,0 +1,313 @@
+import type { OperatorSettings } from '../settings/operator.js';
+import { type PlatformSettings, moneyCounts } from '../settings/platform.js';
+import type { World } from '../runtime.js';
+import type { Job, JobBook } from '../jobs/book.js';
+import type { Entry, Machine, MachineTable } from '../workers/table.js';
+import { type ChoiceContext, allowedOn, chooseMachine, openZones } from './choose.js';
+import { servingOrder, withinGuarantee } from './order.js';
+import { QuotaBook } from './quota.js';
+import { RunTimes } from './run-times.js';
+import { Timings, isSlow, selectMove, trimTimings } from './stragglers.js';
+
+export interface PlacementDeps {
+  world: World;
+  settings: PlatformSettings;
+  operator: OperatorSettings;
+  book: JobBook;
+  table: MachineTable;
+  attemptBase: number;
+  /** May jobs of former leaders be acted on yet? */
+  oldJobsOpen(): boolean;
+  isSilent(m: Machine): boolean;
+}
+
+const STARTS_PER_PASS = 400;
+
+/** Which task goes where, when, and instead of what. Sends nothing: it holds and stops entries in the table. */
+export class Placement {
+  private readonly quota: QuotaBook;
+  private readonly runTimes = new RunTimes();
+  private readonly timings = new Timings();
+  private readonly endedJobs: number[] = [];
+  private attempts = 0;
+  private lastRound: number;
+  private drainNext = 0;
+  private guaranteed = new Set<Job>();
+  private readonly saveMoney: boolean;
+  /** The most CPUs that one service asked of its team: arrays leave that much under the team's limit. */
+  private readonly serviceCpus = new Map<string, number>();
+
+  constructor(private readonly deps: PlacementDeps) {
+    this.quota = new QuotaBook(deps.settings.teams);
+    this.saveMoney = moneyCounts(deps.settings);
+    this.lastRound = deps.world.clock.now();
+  }
+
+  // What the machine table tells.
+
+  held(e: Entry): void {
+    if (!e.job) return;
+    e.job.hold(e);
+    this.quota.hold(e.job.spec);
+  }
+
+  left(e: Entry): void {
+    const { job, machine } = e;
+    if (!job) return;
+    const now = this.deps.world.clock.now();
+    if (e.cause === 'done') {
+      if (e.runningSince > 0 && job.spec.kind === 'array') {
+        const ms = now - e.runningSince;
+        this.runTimes.record(job.spec.cls, ms);
+        this.timings.record(job.idx, machine.idx, ms);
+      }
+      machine.failedJobs.delete(job.idx);
+      job.failedOn.clear();
+      job.failures = 0;
+      if (!job.cancelled) job.finish(e.num, now);
+    }
+    job.release(e);
+    this.quota.release(job.spec);
+    if (e.cause === 'error' || e.cause === 'unknown') this.noteFailure(job, machine, now);
+    if (e.cause === 'no_room' || e.cause === 'busy') job.notBefore = Math.max(job.notBefore, now + 300);
+  }
+
+  /** A job that fails on several machines is itself at fault: it waits longer each time, and condemns none. */
+  private noteFailure(job: Job, machine: Machine, now: number): void {
+    job.failures++;
+    job.failedOn.add(machine.idx);
+    machine.failedJobs.add(job.idx);
+    if (job.failedOn.size >= 3) {
+      for (const m of this.deps.table.all()) m.failedJobs.delete(job.idx);
+      job.failedOn.clear();
+    }
+    job.notBefore = now + Math.min(20_000, 200 * 2 ** Math.min(job.failures, 8));
+    if (machine.failedJobs.size >= 2 && !machine.draining) {
+      this.deps.world.log.info({ id: machine.id }, 'machine fails tasks of several jobs');
+      machine.draining = 'faulty';
+    }
+  }
+
+  reported(m: Machine): void {
+    if (m.noticeUntil !== null && !m.draining) m.draining = 'notice';
+    const now = this.deps.world.clock.now();
+    for (const e of [...m.entries.values()]) {
+      if (!e.onMachine() || e.stop) continue;
+      if (!e.job) this.stop(e, 0, 'no such job');
+      else if (e.job.cancelled) this.stop(e, 0, 'cancelled');
+      else if (e.job.isFinished(e.num)) this.stop(e, 0, 'finished elsewhere');
+      else {
+        const copies = e.job.held.get(e.num);
+        if (copies && copies.length > 1 && copies[0] !== e) this.stop(e, 0, 'second copy');
+      }
+    }
+    if (m.draining === 'notice') this.drain(m, now);
+  }
+
+  cancelled(job: Job): void {
+    for (const list of [...job.held.values()]) for (const e of [...list]) this.stop(e, 0, 'cancelled');
+  }
+
+  ended(job: Job): void {
+    this.endedJobs.push(job.idx);
+    trimTimings(this.timings, (idx) => [...this.deps.book.all()].some((j) => j.idx === idx), this.endedJobs);
+  }
+
+  private stop(e: Entry, graceS: number, why: string): void {
+    if (!e.sent) {
+      // Never sent, so it can't be anywhere.
+      this.deps.table.drop(e, this.deps.world.clock.now());
+      return;
+    }
+    e.stop ??= { graceS, why };
+  }
+
+  // Starts.
+
+  private usable(m: Machine): boolean {
+    return (
+      m.stored &&
+      m.certain() &&
+      !m.draining &&
+      !m.deleting &&
+      m.commandFailures === 0 &&
+      !this.deps.isSilent(m)
+    );
+  }
+
+  private mayPreempt(victim: Entry, job: Job): boolean {
+    const v = victim.job!;
+    if (v.spec.priority > job.spec.priority) return true;
+    return (
+      this.guaranteed.has(job) &&
+      !this.guaranteed.has(v) &&
+      v.spec.priority > 0 &&
+      v.spec.team !== job.spec.team &&
+      this.quota.borrows(v.spec.team)
+    );
+  }
+
+  private context(now: number): ChoiceContext {
+    return {
+      now,
+      usable: (m) => this.usable(m),
+      saveMoney: this.saveMoney,
+      mayPreempt: (v, j) => this.mayPreempt(v, j),
+    };
+  }
+
+  /** CPUs the job would use if there were room: its team's limit taken into account. */
+  wantedCpus(job: Job): number {
+    const s = job.spec;
+    const team = this.quota.team(s.team);
+    const open = (job.held.size + job.pending()) * s.cpus;
+    return Math.min(open, team?.cpusMax ?? 0);
+  }
+
+  private begin(job: Job, num: number, m: Machine, victims: Entry[], now: number): void {
+    for (const v of victims) this.stop(v, 0, 'preempted');
+    const attempt = this.deps.attemptBase + this.attempts++;
+    this.deps.table.hold(m, job.spec.id, job, num, attempt, now);
+  }
+
+  /** Starts whatever can start. Like jobs are decided as a class: where one finds no room, its likes don't look. */
+  pass(): void {
+    const { book, table, world } = this.deps;
+    const now = world.clock.now();
+    const waiting: Job[] = [];
+    for (const job of book.all()) {
+      if (job.spec.kind === 'service')
+        this.serviceCpus.set(
+          job.spec.team,
+          Math.max(this.serviceCpus.get(job.spec.team) ?? 0, job.spec.cpus * Math.min(4, job.spec.tasks)),
+        );
+      if (job.pending() > 0 && job.notBefore <= now && (job.fresh || this.deps.oldJobsOpen()))
+        waiting.push(job);
+    }
+    if (waiting.length === 0) return;
+    this.guaranteed = withinGuarantee(book.all(), this.quota);
+    const ctx = this.context(now);
+    const full = new Set<string>();
+    let starts = STARTS_PER_PASS;
+    for (const job of servingOrder(waiting, this.guaranteed)) {
+      const free =
+        !job.spec.spread && !job.spec.oneZone && job.failedOn.size === 0 && !this.guaranteed.has(job);
+      if (free && full.has(job.key)) continue;
+      const keep = job.spec.kind === 'array' ? (this.serviceCpus.get(job.spec.team) ?? 0) : 0;
+      while (starts > 0 && job.pending() > 0) {
+        if (!this.quota.allows(job.spec, keep)) {
+          if (job.spec.priority === 0) this.makeQuota(job);
+          break;
+        }
+        const num = job.next();
+        const choice = num < 0 ? null : chooseMachine(job, table.all(), ctx);
+        if (!choice) {
+          if (free) full.add(job.key);
+          break;
+        }
+        this.begin(job, num, choice.machine, choice.victims, now);
+        starts--;
+      }
+    }
+  }
+
+  /** The team's own less urgent work leaves its room under the limit; the start waits until it is surely gone. */
+  private makeQuota(job: Job): void {
+    let leaving = 0;
+    const victims: Entry[] = [];
+    for (const other of this.deps.book.all()) {
+      if (other.spec.team !== job.spec.team || other.spec.priority <= job.spec.priority) continue;
+      for (const list of other.held.values())
+        for (const e of list) {
+          if (e.stop) leaving += other.spec.cpus;
+          else if (!e.open) victims.push(e);
+        }
+    }
+    victims.sort((a, b) => b.createdAt - a.createdAt);
+    for (const v of victims) {
+      if (leaving >= job.spec.cpus) return;
+      leaving += v.job!.spec.cpus;
+      this.stop(v, 0, 'quota for a more urgent job');
+    }
+  }
+
+  // Rounds.
+
+  /** DESIGN's placement round: flags slow machines and moves one young task to the machine with most free room. */
+  round(): void {
+    const { world, operator, table } = this.deps;
+    const now = world.clock.now();
+    if (now - this.lastRound < operator.round_s * 1000) return;
+    this.lastRound = now;
+    let moves = operator.moves_per_round;
+    for (const m of table.all()) {
+      const slow = isSlow(this.timings, m.idx, operator.slowness_ratio, operator.slowness_jobs);
+      if (slow !== m.slow) world.log.info({ id: m.id, slow }, 'machine speed');
+      m.slow = slow;
+    }
+    for (const m of table.all()) {
+      if (!m.slow || moves <= 0) continue;
+      const e = selectMove(m, this.timings, now);
+      const target = e && this.mostIdle(e.job!);
+      if (!e || !target) continue;
+      e.job!.moved.add(e.num);
+      // The task starts again once its worker reports it stopped; the slow machine is then scored behind.
+      this.stop(e, e.job!.spec.checkpointS > 0 ? e.job!.spec.saveS : 0, 'moved off a slow machine');
+      moves--;
+    }
+    for (const m of table.all()) if (m.draining) this.drain(m, now);
+  }
+
+  private mostIdle(job: Job): Machine | null {
+    let best: Machine | null = null;
+    const zoneOpen = openZones(job);
+    for (const m of this.deps.table.all()) {
+      if (!this.usable(m) || m.slow || !allowedOn(job.spec, m) || (zoneOpen && !zoneOpen(m.zone))) continue;
+      if (m.freeCpus() < job.spec.cpus || m.freeMemory() < job.spec.memoryGb || m.freeGpus() < job.spec.gpus)
+        continue;
+      if (!best || m.freeCpus() > best.freeCpus()) best = m;
+    }
+    return best;
+  }
+
+  /** Usual run time left of a task, in milliseconds; null if nothing is known. */
+  private remaining(e: Entry, now: number): number | null {
+    const usual = this.timings.usual(e.job!.idx) ?? this.runTimes.usual(e.job!.spec.cls);
+    if (usual === null || e.state !== 'running') return null;
+    return Math.max(0, usual - (now - e.runningSince));
+  }
+
+  /**
+   * The paper's Listing 3: tasks of a machine that goes away are spread over the others in round robin. What
+   * would be done before the machine goes stays; a task is moved only when another machine has room for it.
+   */
+  private drain(m: Machine, now: number): void {
+    if (!m.certain()) return;
+    const left = m.noticeUntil === null ? Infinity : m.noticeUntil - now;
+    let budget = this.deps.operator.drain_moves_per_round;
+    const others = [...this.deps.table.all()].filter((x) => x !== m && this.usable(x));
+    const taken = new Map<Machine, number>();
+    for (const e of [...m.entries.values()]) {
+      if (budget <= 0) return;
+      if (!e.onMachine() || e.stop || e.open || !e.job) continue;
+      const rest = this.remaining(e, now);
+      if (rest !== null && rest < left * 0.8) continue;
+      const target = this.nextInTurn(e.job, others, taken);
+      if (!target) continue;
+      taken.set(target, (taken.get(target) ?? 0) + e.job.spec.cpus);
+      this.stop(e, e.job.spec.checkpointS > 0 ? Math.min(e.job.spec.saveS, left / 1000) : 0, 'drained');
+      budget--;
+    }
+  }
+
+  private nextInTurn(job: Job, others: Machine[], taken: Map<Machine, number>): Machine | null {
+    for (let i = 0; i < others.length; i++) {
+      const m = others[(this.drainNext + i) % others.length]!;
+      if (!allowedOn(job.spec, m) || m.freeCpus() - (taken.get(m) ?? 0) < job.spec.cpus) continue;
+      if (m.freeMemory() < job.spec.memoryGb || m.freeGpus() < job.spec.gpus) continue;
+      this.drainNext = (this.drainNext + i + 1) % others.length;
+      return m;
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/state-store/budget.ts
@@ -0,0 +1,33 @@
+/** A token bucket on the steady clock. */
+export class Bucket {
+  private level: number;
+  private at: number;
+
+  constructor(
+    private readonly perS: number,
+    private readonly burst: number,
+    private readonly now: () => number,
+  ) {
+    this.level = burst;
+    this.at = now();
+  }
+
+  private refill(): void {
+    const t = this.now();
+    this.level = Math.min(this.burst, this.level + ((t - this.at) / 1000) * this.perS);
+    this.at = t;
+  }
+
+  take(n = 1): boolean {
+    this.refill();
+    if (this.level < n) return false;
+    this.level -= n;
+    return true;
+  }
+
+  /** For what must go out whatever the level; later takers wait for it. */
+  force(n = 1): void {
+    this.refill();
+    this.level -= n;
+  }
+}
--- /dev/null
+++ b/src/state-store/client.ts
@@ -0,0 +1,130 @@
+import type { Reply, World } from '../runtime.js';
+import {
+  type Change,
+  type Guard,
+  type News,
+  type Pair,
+  leaseBody,
+  paths,
+  readFailed,
+  readLease,
+  readNews,
+  readPair,
+  readPairs,
+  readRevision,
+  txnBody,
+} from '../wire/messages.js';
+import { Bucket } from './budget.js';
+
+/** `refused`: surely not executed. `unknown`: no answer, so it may have been executed, or may still be. */
+export type Read = { kind: 'found'; pair: Pair } | { kind: 'absent'; revision: number } | { kind: 'refused' };
+export type TxnResult =
+  | { kind: 'applied'; revision: number }
+  | { kind: 'conflict'; failed: string[] }
+  | { kind: 'no-lease' }
+  | { kind: 'refused' }
+  | { kind: 'unknown' };
+export type WatchResult =
+  { kind: 'news'; revision: number; news: News[] } | { kind: 'too-old' } | { kind: 'refused' };
+
+export interface StoreLimits {
+  address: string;
+  nodes: number;
+  rps: number;
+  writeRps: number;
+}
+
+const TIMEOUT_MS = 2000;
+
+/**
+ * The state service, met by its protocol. The service's limits are shared by all nodes without their talking
+ * to each other: each holds to its share, and renewals are let through first.
+ */
+export class StateStore {
+  private readonly reads: Bucket;
+  private readonly writes: Bucket;
+
+  constructor(
+    private readonly world: World,
+    private readonly limits: StoreLimits,
+  ) {
+    const now = () => world.clock.now();
+    const share = (n: number) => (n * 0.95) / limits.nodes;
+    this.reads = new Bucket(share(limits.rps), share(limits.rps), now);
+    this.writes = new Bucket(share(limits.writeRps), share(limits.writeRps), now);
+  }
+
+  private send(
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body: object | null,
+    timeoutMs = TIMEOUT_MS,
+  ): Promise<Reply> {
+    return this.world.http.send(this.limits.address, method, path, body as Reply['body'] | null, timeoutMs);
+  }
+
+  async get(key: string): Promise<Read> {
+    if (!this.reads.take()) return { kind: 'refused' };
+    const r = await this.send('GET', paths.key(key), null);
+    if (r.status === 404) return { kind: 'absent', revision: readRevision(r.body) };
+    const pair = r.status === 200 ? readPair(r.body) : null;
+    return pair ? { kind: 'found', pair } : { kind: 'refused' };
+  }
+
+  /** All pairs under the prefix, with the revision before the first page: a watch from there misses nothing. */
+  async scan(prefix: string): Promise<{ pairs: Pair[]; revision: number } | null> {
+    const all: Pair[] = [];
+    let revision = -1;
+    for (let after = ''; ;) {
+      this.reads.force();
+      const r = await this.send('GET', paths.scan(prefix, after), null);
+      const page = r.status === 200 ? readPairs(r.body) : null;
+      if (!page) return null;
+      if (revision < 0) revision = page.revision;
+      all.push(...page.pairs);
+      if (!page.more || page.pairs.length === 0) return { pairs: all, revision };
+      after = page.pairs[page.pairs.length - 1]!.key;
+    }
+  }
+
+  /** `urgent` is for leadership: it does not wait for room in the budget. */
+  async txn(guards: Guard[], changes: Change[], urgent = false): Promise<TxnResult> {
+    if (urgent) {
+      this.reads.force();
+      this.writes.force(changes.length);
+    } else if (!this.writes.take(changes.length) || !this.reads.take()) {
+      return { kind: 'refused' };
+    }
+    const r = await this.send('POST', paths.txn, txnBody(guards, changes));
+    if (r.status === 200) return { kind: 'applied', revision: readRevision(r.body) };
+    if (r.status === 409) return { kind: 'conflict', failed: readFailed(r.body) };
+    if (r.status === 400) return { kind: 'no-lease' };
+    return r.status === 0 ? { kind: 'unknown' } : { kind: 'refused' };
+  }
+
+  async openLease(ttlMs: number): Promise<number | null> {
+    this.reads.force();
+    const r = await this.send('POST', paths.leases, leaseBody(ttlMs));
+    return r.status === 200 ? (readLease(r.body) ?? null) : null;
+  }
+
+  async renewLease(lease: number, ttlMs: number, timeoutMs: number): Promise<'kept' | 'ended' | 'unknown'> {
+    this.reads.force();
+    const r = await this.send('POST', paths.renew(lease), leaseBody(ttlMs), timeoutMs);
+    return r.status === 200 ? 'kept' : r.status === 404 ? 'ended' : 'unknown';
+  }
+
+  async endLease(lease: number): Promise<boolean> {
+    this.reads.force();
+    const r = await this.send('DELETE', paths.lease(lease), null);
+    return r.status === 200 || r.status === 204 || r.status === 404;
+  }
+
+  async watch(prefix: string, after: number, waitMs: number): Promise<WatchResult> {
+    this.reads.force();
+    const r = await this.send('GET', paths.watch(prefix, after, waitMs), null, waitMs + 3000);
+    if (r.status === 410) return { kind: 'too-old' };
+    const n = r.status === 200 ? readNews(r.body) : null;
+    return n ? { kind: 'news', ...n } : { kind: 'refused' };
+  }
+}
--- /dev/null
+++ b/src/wire/model.ts
@@ -0,0 +1,81 @@
+/** The words used inside; `messages.ts` turns them into the wire's and back. */
+export type JobKind = 'array' | 'service';
+/** 0 is the most urgent: production, high, normal, idle. */
+export type Priority = 0 | 1 | 2 | 3;
+
+export interface JobSpec {
+  id: string;
+  cls: string;
+  team: string;
+  kind: JobKind;
+  priority: Priority;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  image: string;
+  imageGb: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+export type JobState = 'pending' | 'running' | 'done' | 'cancelled';
+
+export interface MachineType {
+  name: string;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootS: number;
+  zones: string[];
+}
+
+export type TaskState = 'fetching' | 'running' | 'saving' | 'exited';
+export type ExitCause = 'done' | 'stopped' | 'error' | 'no_room' | 'busy' | 'unknown';
+
+export interface TaskReport {
+  job: string;
+  num: number;
+  attempt: number;
+  state: TaskState;
+  cause: ExitCause | null;
+}
+
+export interface WorkerReport {
+  machine: string;
+  endpoint: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  session: number;
+  seq: number;
+  token: number;
+  noticeS: number | null;
+  tasks: TaskReport[];
+}
+
+export type Order =
+  | { op: 'start'; job: string; num: number; attempt: number }
+  | { op: 'stop'; job: string; num: number; attempt: number; graceS: number }
+  | { op: 'forget'; job: string; num: number; attempt: number };
+
+export type ListedState = 'booting' | 'running' | 'failed';
+export interface ListedMachine {
+  id: string;
+  endpoint: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  state: ListedState;
+  ageS: number;
+}
--- /dev/null
+++ b/src/workers/table.ts
@@ -0,0 +1,293 @@
+import type { Job } from '../jobs/book.js';
+import type { ExitCause, MachineType, WorkerReport } from '../wire/model.js';
+import { DRIFT } from '../runtime.js';
+
+/**
+ * ordered: a start was decided; it may be in flight. fetching, running, saving: as reported.
+ * exited: not on the machine any more, but the machine still reports it until it is told to forget.
+ */
+export type EntryState = 'ordered' | 'fetching' | 'running' | 'saving' | 'exited';
+
+const ENTRY_NEXT: Record<EntryState, EntryState[]> = {
+  ordered: ['fetching', 'running', 'saving', 'exited'],
+  fetching: ['running', 'saving', 'exited'],
+  running: ['saving', 'exited'],
+  saving: ['exited'],
+  exited: [],
+};
+
+/** A task that may be on a machine. */
+export class Entry {
+  state: EntryState = 'ordered';
+  cause: ExitCause | null = null;
+  /** The start was sent; it is sent once, never again. */
+  sent = false;
+  /** No answer to the start is known, so it may still be executed; see `fence`. */
+  open = true;
+  /** With this token shown by the machine, an unanswered start can no longer be executed. */
+  fence = 0;
+  /** Set when the task is to go: seconds it may take to save. */
+  stop: { graceS: number; why: string } | null = null;
+  stopSentAt = -Infinity;
+  forgetSentAt = -Infinity;
+  runningSince = 0;
+
+  constructor(
+    readonly machine: Machine,
+    readonly jobId: string,
+    /** Null: the job is not among the live ones. */
+    readonly job: Job | null,
+    readonly num: number,
+    readonly attempt: number,
+    readonly createdAt: number,
+  ) {}
+
+  onMachine(): boolean {
+    return this.state !== 'exited';
+  }
+}
+
+export interface Inflight {
+  entries: Set<Entry>;
+}
+
+export class Machine {
+  session = 0;
+  seq = -1;
+  /** Highest token it has shown. */
+  token = 0;
+  /** What it must show before its reports are taken as complete. */
+  fence: number;
+  /** Raised for this machine alone, on top of the leader's token. */
+  bump = 0;
+  stored = false;
+  /** Anything newer than this has been heard from the worker itself. */
+  heardAt: number;
+  /** When the last report was answered that may have renewed the worker's lease. */
+  renewedAt: number;
+  reported = false;
+  noticeUntil: number | null = null;
+  draining: string | null = null;
+  slow = false;
+  /** Jobs whose tasks failed here lately. */
+  readonly failedJobs = new Set<number>();
+  readonly entries = new Map<string, Entry>();
+  readonly images = new Set<string>();
+  inflight: Inflight | null = null;
+  nextSendAt = 0;
+  commandFailures = 0;
+  emptySince: number;
+  usedCpus = 0;
+  usedGpus = 0;
+  usedMemory = 0;
+  /** Where it stands with the cloud. */
+  listedAt = -1;
+  rentedAt: number | null = null;
+  deleting = false;
+  /** Stored when the leader took over: must speak up, or be gone, before old jobs are acted on. */
+  suspect = false;
+
+  constructor(
+    readonly idx: number,
+    readonly id: string,
+    public endpoint: string,
+    readonly type: MachineType,
+    readonly zone: string,
+    readonly spot: boolean,
+    baseToken: number,
+    now: number,
+  ) {
+    this.fence = baseToken;
+    this.heardAt = now;
+    this.renewedAt = now;
+    this.emptySince = now;
+  }
+
+  /** It has shown a token that ends whatever was sent with lower ones. */
+  certain(): boolean {
+    return this.reported && this.token >= this.fence;
+  }
+
+  freeCpus(): number {
+    return this.type.cpus - this.usedCpus;
+  }
+  freeGpus(): number {
+    return this.type.gpus - this.usedGpus;
+  }
+  freeMemory(): number {
+    return this.type.memoryGb - this.usedMemory;
+  }
+}
+
+export interface TableEvents {
+  /** The task may now be on the machine. */
+  held(e: Entry): void;
+  /** The task is surely not on the machine any more; `e.state` tells whether it exited or vanished. */
+  left(e: Entry): void;
+}
+
+const entryKey = (job: string, num: number, attempt: number): string => `${job}/${num}/${attempt}`;
+
+/** The machine table and, on it, which tasks may be where: the paper's partition table, rebuilt from reports. */
+export class MachineTable {
+  private readonly byId = new Map<string, Machine>();
+  private nextIdx = 0;
+
+  constructor(
+    private readonly baseToken: number,
+    private readonly leaseMs: number,
+    private readonly findJob: (id: string) => Job | undefined,
+    private readonly events: TableEvents,
+  ) {}
+
+  all(): IterableIterator<Machine> {
+    return this.byId.values();
+  }
+  size(): number {
+    return this.byId.size;
+  }
+  get(id: string): Machine | undefined {
+    return this.byId.get(id);
+  }
+
+  add(id: string, endpoint: string, type: MachineType, zone: string, spot: boolean, now: number): Machine {
+    const m = new Machine(this.nextIdx++, id, endpoint, type, zone, spot, this.baseToken, now);
+    this.byId.set(id, m);
+    return m;
+  }
+
+  token(m: Machine): number {
+    return this.baseToken + m.bump;
+  }
+
+  raise(m: Machine): number {
+    m.bump++;
+    return this.token(m);
+  }
+
+  hold(m: Machine, jobId: string, job: Job | null, num: number, attempt: number, now: number): Entry {
+    const e = new Entry(m, jobId, job, num, attempt, now);
+    m.entries.set(entryKey(jobId, num, attempt), e);
+    this.occupy(e, 1);
+    this.events.held(e);
+    return e;
+  }
+
+  private occupy(e: Entry, sign: 1 | -1): void {
+    if (!e.job) return;
+    const { cpus, gpus, memoryGb } = e.job.spec;
+    e.machine.usedCpus += sign * cpus;
+    e.machine.usedGpus += sign * gpus;
+    e.machine.usedMemory += sign * memoryGb;
+  }
+
+  /** The one place where an entry changes its state. */
+  private become(e: Entry, next: EntryState, now: number): void {
+    if (next === e.state || !ENTRY_NEXT[e.state].includes(next)) return;
+    e.state = next;
+    e.open = false;
+    if (next === 'running') {
+      e.runningSince = now;
+      if (e.job) e.machine.images.add(e.job.spec.image);
+    }
+    if (next === 'exited') {
+      this.occupy(e, -1);
+      this.noteEmpty(e.machine, now);
+      this.events.left(e);
+    }
+  }
+
+  private noteEmpty(m: Machine, now: number): void {
+    for (const e of m.entries.values()) if (e.onMachine()) return;
+    m.emptySince = now;
+  }
+
+  /** Surely not on the machine: never executed, killed with its session, or the machine is gone. */
+  drop(e: Entry, now: number): void {
+    e.machine.entries.delete(entryKey(e.jobId, e.num, e.attempt));
+    if (e.onMachine()) {
+      this.occupy(e, -1);
+      this.noteEmpty(e.machine, now);
+      this.events.left(e);
+    }
+  }
+
+  private dropAll(m: Machine, now: number): void {
+    for (const e of [...m.entries.values()]) this.drop(e, now);
+  }
+
+  /**
+   * Takes a report over. A bad or older one changes nothing. An entry that the report lacks is dropped only
+   * if its start cannot be executed any more: it was answered, or the machine has shown the raised token.
+   */
+  apply(m: Machine, r: WorkerReport, now: number): boolean {
+    if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return false;
+    if (r.session > m.session) {
+      // The worker has killed and forgotten everything, and refuses commands for the earlier session.
+      this.dropAll(m, now);
+      m.session = r.session;
+    }
+    m.seq = r.seq;
+    m.token = Math.max(m.token, r.token);
+    m.endpoint = r.endpoint;
+    m.reported = true;
+    m.noticeUntil = r.noticeS === null ? null : now + r.noticeS * 1000;
+    const seen = new Set<string>();
+    for (const t of r.tasks) {
+      const key = entryKey(t.job, t.num, t.attempt);
+      seen.add(key);
+      let e = m.entries.get(key);
+      if (!e) {
+        e = this.hold(m, t.job, this.findJob(t.job) ?? null, t.num, t.attempt, now);
+        e.sent = true;
+      }
+      e.open = false;
+      if (t.state === 'exited' && e.cause === null) e.cause = t.cause;
+      this.become(e, t.state, now);
+    }
+    for (const [key, e] of m.entries) {
+      if (seen.has(key)) continue;
+      const mayCome =
+        e.open && (m.inflight?.entries.has(e) === true || !e.sent || e.fence === 0 || m.token < e.fence);
+      if (!mayCome) this.drop(e, now);
+    }
+    return true;
+  }
+
+  /** The request was surely not executed. */
+  refused(entries: Iterable<Entry>, now: number): void {
+    for (const e of entries) if (e.state === 'ordered' && e.open) this.drop(e, now);
+  }
+
+  /** Answered with 200: what is still open was executed, so a later report without it means that it is gone. */
+  answered(entries: Iterable<Entry>): void {
+    for (const e of entries) e.open = false;
+  }
+
+  /** No answer: the starts may be executed minutes later, until the machine shows a higher token. */
+  unanswered(m: Machine, entries: Iterable<Entry>): void {
+    m.fence = this.raise(m);
+    for (const e of entries) if (e.open) e.fence = m.fence;
+  }
+
+  /** The worker's lease has surely run out, counted from the last answer that may have renewed it. */
+  leaseOver(m: Machine, now: number): boolean {
+    return now - m.renewedAt > this.leaseMs * DRIFT + 500;
+  }
+
+  expire(m: Machine, now: number): void {
+    this.dropAll(m, now);
+    if (m.reported) {
+      // Only a newer session counts from here: a held report of the old one tells of tasks that are dead.
+      m.session++;
+      m.seq = -1;
+    }
+    m.reported = false;
+    m.suspect = false;
+  }
+
+  remove(m: Machine, now: number): void {
+    this.dropAll(m, now);
+    this.byId.delete(m.id);
+  }
+}
