--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -59,7 +59,7 @@
       const apart = j.zone === null && !j.oneZone;
       if (!apart && j.tasks > Math.ceil(j.tasks / 2)) return 'tasks must be both apart and in one zone';
     }
-    const atOnce = j.kind === 'service' ? j.tasks : 1;
+    const atOnce = j.kind === 'array' ? 1 : j.tasks;
     if (j.cpus * atOnce > team.cpusMax || j.gpus * atOnce > team.gpusMax) return "over the team's limit";
     return null;
   }
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -68,6 +68,9 @@
     }
     job.release(e);
     this.quota.release(job.spec);
+    // A gang that lost a task leaves whole, and starts again whole.
+    if (job.spec.kind === 'gang' && e.cause !== 'done' && e.sent)
+      this.stopAll(job, 'a task of the gang is gone');
     if (e.cause === 'error' || e.cause === 'unknown') this.noteFailure(job, machine, now);
     if (e.cause === 'no_room' || e.cause === 'busy') job.notBefore = Math.max(job.notBefore, now + 300);
   }
@@ -95,7 +98,7 @@
       if (!e.onMachine() || e.stop) continue;
       if (!e.job) this.stop(e, 0, 'no such job');
       else if (e.job.cancelled) this.stop(e, 0, 'cancelled');
-      else if (e.job.isFinished(e.num)) this.stop(e, 0, 'finished elsewhere');
+      else if (e.job.isFinished(e.num) && e.job.spec.kind !== 'gang') this.stop(e, 0, 'finished elsewhere');
       else {
         const copies = e.job.held.get(e.num);
         if (copies && copies.length > 1 && copies[0] !== e) this.stop(e, 0, 'second copy');
@@ -105,7 +108,11 @@
   }
 
   cancelled(job: Job): void {
-    for (const list of [...job.held.values()]) for (const e of [...list]) this.stop(e, 0, 'cancelled');
+    this.stopAll(job, 'cancelled');
+  }
+
+  private stopAll(job: Job, why: string): void {
+    for (const list of [...job.held.values()]) for (const e of [...list]) this.stop(e, 0, why);
   }
 
   ended(job: Job): void {
@@ -164,10 +171,10 @@
     return Math.min(open, team?.cpusMax ?? 0);
   }
 
-  private begin(job: Job, num: number, m: Machine, victims: Entry[], now: number): void {
+  private begin(job: Job, num: number, m: Machine, victims: Entry[], now: number): Entry {
     for (const v of victims) this.stop(v, 0, 'preempted');
     const attempt = this.deps.attemptBase + this.attempts++;
-    this.deps.table.hold(m, job.spec.id, job, num, attempt, now);
+    return this.deps.table.hold(m, job.spec.id, job, num, attempt, now);
   }
 
   /** Starts whatever can start. Like jobs are decided as a class: where one finds no room, its likes don't look. */
@@ -194,6 +201,10 @@
         !job.spec.spread && !job.spec.oneZone && job.failedOn.size === 0 && !this.guaranteed.has(job);
       if (free && full.has(job.key)) continue;
       const keep = job.spec.kind === 'array' ? (this.serviceCpus.get(job.spec.team) ?? 0) : 0;
+      if (job.spec.kind === 'gang') {
+        this.startGang(job, ctx, now);
+        continue;
+      }
       while (starts > 0 && job.pending() > 0) {
         if (!this.quota.allows(job.spec, keep)) {
           if (job.spec.priority === 0) this.makeQuota(job);
@@ -211,6 +222,21 @@
     }
   }
 
+  /** All tasks of a gang at once or none: finished ones too, since their kept results end them at once. */
+  private startGang(job: Job, ctx: ChoiceContext, now: number): void {
+    if (job.held.size > 0) return;
+    const chosen: Entry[] = [];
+    for (let num = 0; num < job.spec.tasks; num++) {
+      const choice = this.quota.allows(job.spec) ? chooseMachine(job, this.deps.table.all(), ctx) : null;
+      if (!choice || choice.victims.length > 0) {
+        for (const e of chosen) this.deps.table.drop(e, now);
+        job.notBefore = now + 500;
+        return;
+      }
+      chosen.push(this.begin(job, num, choice.machine, [], now));
+    }
+  }
+
   /** The team's own less urgent work leaves its room under the limit; the start waits until it is surely gone. */
   private makeQuota(job: Job): void {
     let leaving = 0;
@@ -250,6 +276,12 @@
       const e = selectMove(m, this.timings, now);
       const target = e && this.mostIdle(e.job!);
       if (!e || !target) continue;
+      if (e.job!.spec.kind === 'gang') {
+        for (const num of e.job!.held.keys()) e.job!.moved.add(num);
+        this.stopAll(e.job!, 'gang moved whole off a slow machine');
+        moves--;
+        continue;
+      }
       e.job!.moved.add(e.num);
       // The task starts again once its worker reports it stopped; the slow machine is then scored behind.
       this.stop(e, e.job!.spec.checkpointS > 0 ? e.job!.spec.saveS : 0, 'moved off a slow machine');
--- a/src/placement/stragglers.ts
+++ b/src/placement/stragglers.ts
@@ -69,6 +69,13 @@
   return slower >= jobs && slower > normal;
 }
 
+/** A gang moves whole or not at all. */
+function wholeGangYoung(job: Job, usual: number, now: number): boolean {
+  for (const list of job.held.values())
+    for (const e of list) if (e.state !== 'running' || now - e.runningSince >= usual / 2) return false;
+  return true;
+}
+
 /** One task of a slow machine that is worth moving: young, and not moved before. */
 export function selectMove(m: Machine, t: Timings, now: number): Entry | null {
   let best: Entry | null = null;
@@ -78,6 +85,7 @@
       continue;
     const usual = t.usual(job.idx);
     if (usual === null || now - e.runningSince >= usual / 2) continue;
+    if (job.spec.kind === 'gang' && !wholeGangYoung(job, usual, now)) continue;
     if (!best || e.runningSince > best.runningSince) best = e;
   }
   return best;
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -2,6 +2,7 @@
 import { type Body, isMap, narrow, wide } from './cbor.js';
 import type {
   ExitCause,
+  JobKind,
   JobSpec,
   JobState,
   ListedMachine,
@@ -15,8 +16,11 @@
 } from './model.js';
 
 const PRIORITIES = ['production', 'high', 'normal', 'idle'];
+const KINDS: Record<string, JobKind | undefined> = { array: 'array', daemon: 'service', group: 'gang' };
 const TASK_STATES: Record<string, TaskState> = {
   fetching: 'fetching',
+  // Has its image and waits for the other tasks of its gang.
+  waiting: 'fetching',
   running: 'running',
   flushing: 'saving',
   ended: 'exited',
@@ -24,6 +28,9 @@
 const CAUSES: Record<string, ExitCause> = {
   done: 'done',
   stopped: 'stopped',
+  // A gang that did not come together, or lost a task.
+  peers: 'stopped',
+  incomplete: 'stopped',
   error: 'error',
   no_room: 'no_room',
   busy: 'busy',
@@ -45,7 +52,7 @@
 export function readJob(b: Body): JobSpec | string {
   const tasks = narrow(b.sacks);
   const priority = PRIORITIES.indexOf(b.precedence as string);
-  const kind = b.grind === 'array' ? 'array' : b.grind === 'daemon' ? 'service' : null;
+  const kind = typeof b.grind === 'string' ? KINDS[b.grind] : undefined;
   if (typeof b.id !== 'string' || !isJobId(b.id)) return 'id';
   if (!text(b.grist)) return 'grist';
   if (!text(b.miller)) return 'miller';
--- a/src/wire/model.ts
+++ b/src/wire/model.ts
@@ -1,5 +1,6 @@
 /** The words used inside; `messages.ts` turns them into the wire's and back. */
-export type JobKind = 'array' | 'service';
+/** gang: an array whose tasks run all at the same time or not at all. */
+export type JobKind = 'array' | 'service' | 'gang';
 /** 0 is the most urgent: production, high, normal, idle. */
 export type Priority = 0 | 1 | 2 | 3;
 
--- /dev/null
+++ b/test/cluster.test.ts
@@ -0,0 +1,129 @@
+/** Seeded random runs of whole clusters; the rules of PROTOCOL are checked after each step. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Cluster, type ClusterConfig } from './sim/cluster.js';
+
+interface Outcome {
+  cluster: Cluster;
+  /** Arrays not cancelled, and how many of them their users were told are done. */
+  arrays: number;
+  done: number;
+}
+
+function report(c: Cluster): Outcome {
+  const arrays = [...c.rules.jobs.values()].filter((j) => j.spec.grind === 'array' && !j.cancelAsked);
+  return { cluster: c, arrays: arrays.length, done: arrays.filter((j) => j.toldDone).length };
+}
+
+/** Jobs arrive for a while with troubles among them; then the cluster is left alone to finish. */
+export async function play(
+  config: ClusterConfig,
+  troubles: (c: Cluster, second: number) => void,
+): Promise<Outcome> {
+  const c = new Cluster(config);
+  await c.run(4);
+  for (let s = 0; s < 60; s++) {
+    if (c.luck.chance(0.25)) void c.user(c.jobBody(), c.luck.chance(0.15) ? c.luck.between(0, 20_000) : null);
+    troubles(c, s);
+    await c.run(1);
+  }
+  await c.run(70);
+  return report(c);
+}
+
+function expectKept(o: Outcome, finished = true): void {
+  assert.deepEqual(o.cluster.rules.broken, []);
+  assert.ok(o.cluster.rules.starts > 0, 'something ran');
+  if (finished) assert.equal(o.done, o.arrays, 'all arrays are done');
+}
+
+test('a quiet day', async () => {
+  expectKept(await play({ seed: 1 }, () => undefined));
+});
+
+test('a quiet day where money counts', async () => {
+  expectKept(await play({ seed: 2, saveMoney: true, ordinaryUp: 0 }, () => undefined));
+});
+
+for (const seed of [11, 12, 13])
+  test(`controllers crash, one or all, some back within a fraction of a second (${seed})`, async () => {
+    const o = await play({ seed }, (c, s) => {
+      if (s % 9 === 3) c.crash(c.leader() ?? c.luck.pick(c.names), c.luck.pick([150, 3000]));
+      if (s === 40) for (const n of c.names) c.crash(n, c.luck.between(100, 4000));
+    });
+    expectKept(o);
+  });
+
+for (const seed of [21, 22, 23])
+  test(`state service down or refusing one node (${seed})`, async () => {
+    const o = await play({ seed }, (c, s) => {
+      if (s === 10) c.state.outage(5000);
+      if (s === 25) c.state.refuse(`${c.leader() ?? 'n0'}:80`, 12_000);
+      if (s === 45) c.state.outage(10_000);
+    });
+    expectKept(o);
+  });
+
+for (const seed of [31, 32, 33, 34])
+  test(`cuts: controllers, machines, with held or reset connections (${seed})`, async () => {
+    const o = await play({ seed }, (c, s) => {
+      const until = c.clock.time + c.luck.between(3000, 20_000);
+      const mode = c.luck.pick(['hold', 'reset'] as const);
+      if (s % 12 === 4) {
+        const node = `${c.leader() ?? 'n1'}:80`;
+        const from = c.luck.pick(['w-', 'state', '']);
+        c.net.cuts.push({ a: (h) => h === node, b: (h) => h.startsWith(from), until, mode });
+      }
+      if (s % 8 === 6) {
+        const m = c.luck.pick([...c.cloud.machines.values()]);
+        c.net.cuts.push({ a: (h) => h === `w-${m.id}:9000`, b: () => true, until, mode });
+      }
+    });
+    expectKept(o);
+  });
+
+for (const seed of [41, 42, 43])
+  test(`machines die, hang, are taken, fail tasks, are slow (${seed})`, async () => {
+    const o = await play({ seed, saveMoney: seed === 42 }, (c, s) => {
+      const m = c.luck.pick([...c.cloud.machines.values()]);
+      if (!m?.worker) return;
+      if (s % 7 === 2) c.cloud.take(m);
+      if (s % 7 === 4)
+        c.net.hosts.get(`w-${m.id}:9000`)!.hangsUntil = c.clock.time + c.luck.between(2000, 12_000);
+      if (s % 10 === 5 && m.spot) {
+        m.worker.noticeUntil = c.clock.time + 6000;
+        c.clock.after(6000, () => c.cloud.take(m));
+      }
+      if (s === 20) c.faultyNext = true;
+      if (s === 30) c.slowNext = 4;
+    });
+    expectKept(o);
+  });
+
+for (const seed of [51, 52, 53, 54, 55, 56])
+  test(`everything at once (${seed})`, async () => {
+    const o = await play({ seed, teamLimit: 20, capacity: 2 }, (c, s) => {
+      const luck = c.luck;
+      const until = c.clock.time + luck.between(1000, 15_000);
+      if (luck.chance(0.06)) c.crash(luck.pick(c.names), luck.pick([100, 3000]));
+      if (luck.chance(0.03)) c.state.outage(luck.between(1000, 8000));
+      if (luck.chance(0.03)) c.cloud.downUntil = until;
+      if (luck.chance(0.1)) {
+        const hosts = [...c.net.hosts.keys()];
+        const h = luck.pick(hosts);
+        const other = luck.pick(hosts);
+        const all = luck.chance(0.5);
+        c.net.cuts.push({
+          a: (x) => x === h,
+          b: (x) => all || x === other,
+          until,
+          mode: luck.pick(['hold', 'reset']),
+        });
+      }
+      const m = luck.pick([...c.cloud.machines.values()]);
+      if (m?.worker && luck.chance(0.08)) c.cloud.take(m);
+      if (m?.worker && luck.chance(0.08)) c.net.hosts.get(`w-${m.id}:9000`)!.hangsUntil = until;
+      if (s % 20 === 0) c.state.refuse(`${luck.pick(c.names)}:80`, luck.between(2000, 8000));
+    });
+    expectKept(o, false);
+  });
--- /dev/null
+++ b/test/sim/cloud.ts
@@ -0,0 +1,122 @@
+import type { Reply } from '../../src/runtime.js';
+import { type Body, narrow } from '../../src/wire/cbor.js';
+import type { VirtualClock } from './clock.js';
+import type { Luck } from './random.js';
+import type { Worker } from './worker.js';
+
+export interface CloudMachine {
+  id: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  rentedAt: number;
+  bootMs: number;
+  worker: Worker | null;
+  condition: 'starting' | 'running' | 'failed';
+}
+
+export const TYPES = [
+  {
+    name: 't16',
+    vcpus: 16,
+    gpus: 0,
+    ram_gb: 64,
+    fetch_gb_per_s: 0.5,
+    price: 1,
+    spot_price: 0.3,
+    boot_s: 5,
+    yards: ['a', 'b'],
+  },
+];
+
+/** Stand-in for the cloud, after PROTOCOL: lists lag, some machines never come up. */
+export class CloudService {
+  readonly machines = new Map<string, CloudMachine>();
+  private readonly answers = new Map<string, string[]>();
+  private readonly snapshots: { at: number; list: Body[] }[] = [];
+  private next = 1;
+  downUntil = 0;
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly luck: Luck,
+    private readonly capacity: Map<string, number>,
+    private readonly boot: (m: CloudMachine) => Worker,
+  ) {
+    this.snapshotLoop();
+  }
+
+  private snapshotLoop(): void {
+    const list = [...this.machines.values()].map((m) => ({
+      id: m.id,
+      endpoint: `w-${m.id}:9000`,
+      stone_kind: m.type,
+      yard: m.zone,
+      loaned_stones: m.spot,
+      condition: m.condition,
+      age_s: (this.clock.time - m.rentedAt) / 1000,
+    }));
+    this.snapshots.push({ at: this.clock.time, list });
+    if (this.snapshots.length > 20) this.snapshots.shift();
+    this.clock.after(500, () => this.snapshotLoop());
+  }
+
+  add(type: string, zone: string, spot: boolean, up: boolean): CloudMachine {
+    const id = `i-${String(this.next++).padStart(6, '0')}`;
+    const bootMs = up ? 0 : this.luck.chance(0.03) ? Infinity : this.luck.between(2500, 9000);
+    const m: CloudMachine = {
+      id,
+      type,
+      zone,
+      spot,
+      rentedAt: this.clock.time,
+      bootMs,
+      worker: null,
+      condition: 'starting',
+    };
+    this.machines.set(id, m);
+    if (bootMs < Infinity)
+      this.clock.after(bootMs, () => {
+        if (this.machines.get(id) !== m) return;
+        m.condition = 'running';
+        m.worker = this.boot(m);
+      });
+    return m;
+  }
+
+  take(m: CloudMachine): void {
+    m.worker?.kill();
+    this.machines.delete(m.id);
+  }
+
+  handle(path: string, body: Body): Reply {
+    if (this.clock.time < this.downUntil) return { status: 503, body: { error: 'trouble' } };
+    if (path === '/catalog') return { status: 200, body: { stone_kinds: TYPES } };
+    if (path === '/machines/delete') {
+      for (const id of body.stones as string[]) {
+        const m = this.machines.get(id);
+        if (m) this.take(m);
+      }
+      return { status: 200, body: {} };
+    }
+    if (path.startsWith('/machines?')) {
+      const lag = this.luck.between(1000, 4000);
+      const at = this.clock.time - lag;
+      const s = [...this.snapshots].reverse().find((x) => x.at <= at);
+      return { status: 200, body: { stones: s?.list ?? [], truncated: false } };
+    }
+    const hire = body.hire as string;
+    const old = this.answers.get(hire);
+    if (old) return { status: 200, body: { stones: old } };
+    const key = `${body.yard as string}|${String(body.loaned_stones)}`;
+    const used = [...this.machines.values()].filter((m) => `${m.zone}|${m.spot}` === key).length;
+    const n = Math.min(narrow(body.number)!, (this.capacity.get(key) ?? 0) - used);
+    if (n <= 0) return { status: 503, body: { error: 'no capacity' } };
+    const ids = Array.from(
+      { length: n },
+      () => this.add(body.stone_kind as string, body.yard as string, body.loaned_stones === true, false).id,
+    );
+    this.answers.set(hire, ids);
+    return { status: 200, body: { stones: ids } };
+  }
+}
--- /dev/null
+++ b/test/sim/cluster.ts
@@ -0,0 +1,262 @@
+/** A whole deployment in virtual time: controllers, state service, cloud, workers and users. */
+import { ControllerNode } from '../../src/node.js';
+import type { Reply, World } from '../../src/runtime.js';
+import { defaultOperatorSettings } from '../../src/settings/operator.js';
+import type { Objective, PlatformSettings } from '../../src/settings/platform.js';
+import type { Body } from '../../src/wire/cbor.js';
+import { CloudService, type CloudMachine } from './cloud.js';
+import { VirtualClock } from './clock.js';
+import { Network } from './network.js';
+import { Luck } from './random.js';
+import { Rules } from './rules.js';
+import { StateService } from './state-service.js';
+import { Worker } from './worker.js';
+
+export interface ClusterConfig {
+  seed: number;
+  saveMoney?: boolean;
+  capacity?: number;
+  ordinaryUp?: number;
+  teamLimit?: number;
+  log?: boolean;
+}
+
+const quiet = { info: () => undefined, debug: () => undefined, error: () => undefined };
+export const REPORT_MS = 1000;
+export const LEASE_MS = 8000;
+export const CANCEL_MS = 22_000;
+
+interface Life {
+  alive: boolean;
+  node: ControllerNode;
+}
+
+export class Cluster {
+  readonly clock = new VirtualClock();
+  readonly luck: Luck;
+  readonly net: Network;
+  readonly state: StateService;
+  readonly cloud: CloudService;
+  readonly rules: Rules;
+  readonly names = ['n0', 'n1', 'n2'];
+  private readonly lives = new Map<string, Life>();
+  private nextJob = 1;
+  faultyNext = false;
+  slowNext = 1;
+
+  constructor(private readonly config: ClusterConfig) {
+    this.luck = new Luck(config.seed);
+    this.net = new Network(this.clock, this.luck);
+    const limit = config.teamLimit ?? 40;
+    this.rules = new Rules(
+      () => this.clock.time,
+      CANCEL_MS,
+      new Map([
+        ['t0', limit],
+        ['t1', limit],
+      ]),
+    );
+    this.state = new StateService(this.clock);
+    const cap = config.capacity ?? 4;
+    const capacity = new Map(['a|false', 'b|false', 'a|true', 'b|true'].map((k) => [k, cap]));
+    this.cloud = new CloudService(this.clock, this.luck, capacity, (m) => this.bootWorker(m));
+    this.net.hosts.set('state:1', {
+      handler: (m, p, b, from) => this.state.handle(m, p, b, from),
+      hangsUntil: 0,
+    });
+    this.net.hosts.set('cloud:1', { handler: (_m, p, b) => this.cloud.handle(p, b), hangsUntil: 0 });
+    for (const n of this.names) this.startNode(n);
+    for (let i = 0; i < (config.ordinaryUp ?? 4); i++) this.cloud.add('t16', i % 2 ? 'a' : 'b', false, true);
+  }
+
+  private bootWorker(m: CloudMachine): Worker {
+    const w = new Worker(this.net, this.luck, this.rules, {
+      id: m.id,
+      address: `w-${m.id}:9000`,
+      type: m.type,
+      cpus: 16,
+      zone: m.zone,
+      spot: m.spot,
+      reportMs: REPORT_MS,
+      leaseMs: LEASE_MS,
+      nodes: this.names.map((name) => ({ name, address: `${name}:80` })),
+      slow: this.slowNext,
+      faulty: this.faultyNext,
+    });
+    this.faultyNext = false;
+    this.slowNext = 1;
+    return w;
+  }
+
+  private settings(name: string): PlatformSettings {
+    const limit = this.config.teamLimit ?? 40;
+    const money: Objective[] = this.config.saveMoney ? [{ kind: 'price', cls: null, withinS: null }] : [];
+    return {
+      node: name,
+      zone: 'a',
+      listen: `${name}:80`,
+      peerBind: `${name}:81`,
+      peers: [],
+      cloud: 'cloud:1',
+      state: 'state:1',
+      nodes: 3,
+      teams: ['t0', 't1'].map((t) => ({ name: t, cpus: 16, gpus: 0, cpusMax: limit, gpusMax: Infinity })),
+      objectives: money,
+      reportS: REPORT_MS / 1000,
+      leaseS: LEASE_MS / 1000,
+      cancelS: CANCEL_MS / 1000,
+      stateRps: 200,
+      stateWriteRps: 40,
+      valueKb: 4,
+      txnOps: 12,
+      cloudRps: 5,
+      listLagS: 2,
+      sockets: 1000,
+    };
+  }
+
+  startNode(name: string): void {
+    const life: Partial<Life> & { alive: boolean } = { alive: true };
+    const alive = (): boolean => life.alive;
+    const never = new Promise<Reply>(() => undefined);
+    const world: World = {
+      clock: this.clock.host(this.luck.between(1, 1.0005), alive),
+      http: {
+        send: (to, method, path, body, timeoutMs) =>
+          this.net
+            .send(`${name}:80`, to, method, path, body, timeoutMs)
+            .then((r) => (life.alive ? r : never)),
+      },
+      log: this.config.log
+        ? { ...quiet, info: (f, t) => console.log(Math.round(this.clock.time), name, t, JSON.stringify(f)) }
+        : quiet,
+      random: () => this.luck.unit(),
+    };
+    const tell = (m: Parameters<ControllerNode['peerMessage']>[0]): void => {
+      for (const [other, l] of this.lives) if (other !== name && l.alive) l.node.peerMessage(m);
+    };
+    const node = new ControllerNode(
+      world,
+      this.settings(name),
+      defaultOperatorSettings(),
+      () => 1e12 + this.clock.time,
+      tell,
+    );
+    life.node = node;
+    this.lives.set(name, life as Life);
+    this.net.hosts.set(`${name}:80`, { handler: (m, p, b) => this.serve(node, m, p, b), hangsUntil: 0 });
+    node.run();
+  }
+
+  private async serve(node: ControllerNode, method: string, path: string, body: Body): Promise<Reply> {
+    if (path === '/agent/beat') return node.beat(body);
+    const id = path.split('/')[3];
+    if (method === 'GET') return node.api.poll(id!);
+    return path.endsWith('/withdraw') ? node.api.cancel(id!) : node.api.submit(body);
+  }
+
+  crash(name: string, downMs: number): void {
+    const life = this.lives.get(name)!;
+    if (!life.alive) return;
+    life.alive = false;
+    this.net.hosts.get(`${name}:80`)!.handler = null;
+    this.clock.after(downMs, () => this.startNode(name));
+  }
+
+  leader(): string | undefined {
+    return this.names.find((n) => this.lives.get(n)!.alive && this.lives.get(n)!.node.leadership.leads());
+  }
+
+  /** How many nodes think that they lead: never more than one. */
+  leaders(): number {
+    return this.names.filter((n) => this.lives.get(n)!.alive && this.lives.get(n)!.node.leadership.leads())
+      .length;
+  }
+
+  // Users.
+
+  jobBody(over: Body = {}): Body {
+    const service = this.luck.chance(0.4);
+    const id = `run-${String(this.nextJob++).padStart(6, '0')}`;
+    return {
+      id,
+      grist: service ? 'desk' : 'batch',
+      miller: this.luck.pick(['t0', 't1']),
+      grind: service ? 'daemon' : 'array',
+      precedence: service ? 'production' : 'normal',
+      sacks: service ? this.luck.pick([1, 3]) : this.luck.int(1, 14),
+      vcpus: 2,
+      gpus: 0,
+      ram_gb: 4,
+      seed: `img-${this.luck.int(0, 2)}`,
+      image_gb: 1,
+      stone_kinds: null,
+      yard: null,
+      one_zone: !service && this.luck.chance(0.2),
+      scatter: service,
+      loaned_stones: !service,
+      grind_s: service ? 0 : this.luck.between(2, 9),
+      bin_every_s: 0,
+      bin_s: 0,
+      due_s: service ? null : 60,
+      ...over,
+    };
+  }
+
+  private ask(method: string, path: string, body: Body | null): Promise<Reply> {
+    return this.net.send('user', `${this.luck.pick(this.names)}:80`, method, path, body, 5000);
+  }
+
+  private later(ms: number): Promise<void> {
+    return new Promise((done) => this.clock.after(ms, done));
+  }
+
+  /** Submits with retries, polls until the end; cancels after a while if asked to. */
+  async user(body: Body, cancelAfterMs: number | null): Promise<void> {
+    const id = body.id as string;
+    const facts = {
+      spec: body,
+      toldAccepted: false,
+      submitted: true,
+      cancelAsked: false,
+      toldCancelledAt: null,
+      toldDone: false,
+      finished: new Set<number>(),
+    };
+    this.rules.jobs.set(id, facts);
+    const retry = async (method: string, path: string, b: Body | null): Promise<Reply> => {
+      for (let i = 0; ; i++) {
+        const r = await this.ask(method, path, b);
+        if (r.status === 200 || r.status === 201) {
+          this.rules.told(id, r.status, r.body.condition);
+          return r;
+        }
+        if (r.status === 400 || r.status === 422 || i > 60) return r;
+        await this.later(1000);
+      }
+    };
+    const first = await retry('POST', '/v1/jobs', body);
+    if (first.status === 422 && facts.toldAccepted) this.rules.break('forgotten', id);
+    if (!facts.toldAccepted) return;
+    if (cancelAfterMs !== null)
+      this.clock.after(cancelAfterMs, () => {
+        facts.cancelAsked = true;
+        void retry('POST', `/v1/jobs/${id}/withdraw`, null);
+      });
+    for (;;) {
+      await this.later(this.luck.between(2000, 5000));
+      const r = await this.ask('GET', `/v1/jobs/${id}`, null);
+      this.rules.told(id, r.status, r.body.condition);
+      if (this.luck.chance(0.03)) void retry('POST', '/v1/jobs', body);
+    }
+  }
+
+  async run(seconds: number): Promise<void> {
+    let most = 0;
+    await this.clock.runUntil(this.clock.time + seconds * 1000, () => {
+      this.rules.check();
+      most = Math.max(most, this.leaders());
+    });
+    if (most > 1) this.rules.break('two_leaders', String(most));
+  }
+}
--- /dev/null
+++ b/test/sim/network.ts
@@ -0,0 +1,105 @@
+import type { Reply } from '../../src/runtime.js';
+import { type Body, decodeMap, encode } from '../../src/wire/cbor.js';
+import type { VirtualClock } from './clock.js';
+import type { Luck } from './random.js';
+
+export type Handler = (method: string, path: string, body: Body, from: string) => Promise<Reply> | Reply;
+
+export interface Host {
+  /** Answers requests, or null while it is down. */
+  handler: Handler | null;
+  /** Hanging: requests wait until then. */
+  hangsUntil: number;
+}
+
+export interface Cut {
+  a: (host: string) => boolean;
+  b: (host: string) => boolean;
+  until: number;
+  mode: 'hold' | 'reset';
+}
+
+/** Requests are delayed, lost, held by cuts and delivered late, and now and then repeated. */
+export class Network {
+  readonly hosts = new Map<string, Host>();
+  cuts: Cut[] = [];
+  lossy = 0.002;
+  repeats = 0.003;
+
+  constructor(
+    readonly clock: VirtualClock,
+    private readonly luck: Luck,
+  ) {}
+
+  private cut(a: string, b: string): Cut | undefined {
+    const now = this.clock.time;
+    return this.cuts.find((c) => c.until > now && ((c.a(a) && c.b(b)) || (c.a(b) && c.b(a))));
+  }
+
+  private delay(): number {
+    return this.luck.chance(0.01) ? this.luck.between(5, 300) : this.luck.between(0.2, 4);
+  }
+
+  /** One way: `arrive` runs when (if) the message gets there, `broken` when the sender sees a reset. */
+  private carry(from: string, to: string, arrive: () => void, broken: () => void): void {
+    const c = this.cut(from, to);
+    if (c?.mode === 'reset') {
+      this.clock.after(this.delay(), broken);
+    } else if (c) {
+      this.clock.after(c.until - this.clock.time + this.delay(), arrive);
+    } else if (!this.luck.chance(this.lossy)) {
+      this.clock.after(this.delay(), arrive);
+    }
+  }
+
+  private async deliver(
+    from: string,
+    to: string,
+    method: string,
+    path: string,
+    body: Body,
+  ): Promise<Reply | null> {
+    const h = this.hosts.get(to);
+    if (!h?.handler) return null;
+    if (h.hangsUntil > this.clock.time)
+      await new Promise<void>((done) => this.clock.after(h.hangsUntil - this.clock.time, done));
+    return h.handler ? h.handler(method, path, body, from) : null;
+  }
+
+  send(
+    from: string,
+    to: string,
+    method: string,
+    path: string,
+    body: Body | null,
+    timeoutMs: number,
+  ): Promise<Reply> {
+    // Through the codec, so that what is sent is what the wire can carry.
+    const sent = body === null ? {} : decodeMap(encode(body))!;
+    return new Promise((resolve) => {
+      let open = true;
+      const settle = (r: Reply): void => {
+        if (open) resolve(r);
+        open = false;
+      };
+      const none = (): void => settle({ status: 0, body: {} });
+      this.clock.after(timeoutMs, none);
+      const arrive = (): void => {
+        void this.deliver(from, to, method, path, sent).then((r) => {
+          if (!r) {
+            this.clock.after(1, none);
+            return;
+          }
+          const back = decodeMap(encode(r.body))!;
+          this.carry(to, from, () => settle({ status: r.status, body: back }), none);
+        });
+      };
+      this.carry(from, to, arrive, none);
+      if (method === 'POST' && this.luck.chance(this.repeats))
+        this.clock.after(
+          this.luck.between(50, 15_000),
+          () => void this.deliver(from, to, method, path, sent),
+        );
+    });
+  }
+}
