A machine whose lease ran out twice in a row was cut off from its own reports

Cause: after an expired worker lease the leader expected the next session, but kept the old renewal time. A direct answer made the machine known again, and the next tick expired it a second time: the session expected was then one too high, every report was taken as old, and tasks there were counted as gone. A new session's lease now counts from when it is learnt of.

--- a/src/workers/table.ts
+++ b/src/workers/table.ts
@@ -226,6 +226,8 @@
       // The worker has killed and forgotten everything, and refuses commands for the earlier session.
       this.dropAll(m, now);
       m.session = r.session;
+      // The new session's own lease counts from its beginning, which was at the latest now.
+      m.renewedAt = Math.max(m.renewedAt, now);
     }
     m.seq = r.seq;
     m.token = Math.max(m.token, r.token);
@@ -282,6 +284,7 @@
       m.session++;
       m.seq = -1;
     }
+    m.renewedAt = now;
     m.reported = false;
     m.suspect = false;
   }
