Quota: tasks of old jobs not yet seen count against their team's limit

Cause: a job newer than the claim may start before every machine has reported, and the quota book then lacked what other machines still ran for the same team. Ruled out: the stand-in worker (it did kill on time).

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -166,6 +166,12 @@
         pool.count++;
     }
     const pools = [...this.pools.values()];
+    const up = (spot: boolean): number =>
+      pools.filter((p) => p.spot === spot).reduce((n, p) => n + p.count * p.type.cpus, 0);
+    deps.world.log.debug(
+      { ordinary: demand.ordinary, any: demand.any, haveOrdinary: up(false), haveSpot: up(true) },
+      'fleet',
+    );
     const input = { pools, demand, saveMoney: deps.saveMoney, spareShare: deps.operator.spare_share, now };
     for (const [pool, count] of planRentals(input)) if (!this.renting.has(pool)) void this.rent(pool, count);
     if (deps.saveMoney) this.returnIdle(now, demand);
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -192,6 +192,7 @@
         waiting.push(job);
     }
     if (waiting.length === 0) return;
+    const unseen = this.unseen();
     this.guaranteed = withinGuarantee(book.all(), this.quota);
     const ctx = this.context(now);
     const full = new Set<string>();
@@ -206,8 +207,14 @@
         continue;
       }
       while (starts > 0 && job.pending() > 0) {
-        if (!this.quota.allows(job.spec, keep)) {
-          if (job.spec.priority === 0) this.makeQuota(job);
+        if (
+          !this.quota.allows(
+            job.spec,
+            keep + (unseen.get(job.spec.team)?.cpus ?? 0),
+            unseen.get(job.spec.team)?.gpus,
+          )
+        ) {
+          if (job.spec.priority === 0 && this.deps.oldJobsOpen()) this.makeQuota(job);
           break;
         }
         const num = job.next();
@@ -237,6 +244,22 @@
     }
   }
 
+  /**
+   * Until every machine is known, tasks of old jobs may be where we have not looked yet: the most that they
+   * can be counts against their team's limit, or a new job could take the team over it.
+   */
+  private unseen(): Map<string, { cpus: number; gpus: number }> {
+    const out = new Map<string, { cpus: number; gpus: number }>();
+    if (this.deps.oldJobsOpen()) return out;
+    for (const job of this.deps.book.all()) {
+      if (job.fresh) continue;
+      const n = Math.max(0, job.spec.tasks - job.finishedCount - job.held.size);
+      const sum = out.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+      out.set(job.spec.team, { cpus: sum.cpus + n * job.spec.cpus, gpus: sum.gpus + n * job.spec.gpus });
+    }
+    return out;
+  }
+
   /** The team's own less urgent work leaves its room under the limit; the start waits until it is surely gone. */
   private makeQuota(job: Job): void {
     let leaving = 0;
--- a/src/placement/quota.ts
+++ b/src/placement/quota.ts
@@ -27,14 +27,14 @@
     this.add(spec, -1);
   }
 
-  /** `keepCpus`: room under the limit that this start must leave. A team no longer in the settings has none. */
-  allows(spec: JobSpec, keepCpus = 0): boolean {
+  /** `keep…`: room under the limits that this start must leave. A team no longer in the settings has none. */
+  allows(spec: JobSpec, keepCpus = 0, keepGpus = 0): boolean {
     const i = this.idx.get(spec.team);
     if (i === undefined) return false;
     const t = this.teams[i]!;
     return (
       this.cpus[i]! + spec.cpus + keepCpus <= t.cpusMax + 1e-6 &&
-      this.gpus[i]! + spec.gpus <= t.gpusMax + 1e-6
+      this.gpus[i]! + spec.gpus + keepGpus <= t.gpusMax + 1e-6
     );
   }
 
