--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -162,7 +162,13 @@
     for (const p of this.pools.values()) p.count = 0;
     for (const m of deps.table.all()) {
       const pool = this.pools.get(this.key(m.type.name, m.zone, m.spot));
-      if (pool && !m.draining && m.noticeUntil === null && !m.deleting && !this.isSilent(m, now))
+      if (
+        pool &&
+        (!m.draining || m.draining === 'surplus') &&
+        m.noticeUntil === null &&
+        !m.deleting &&
+        !this.isSilent(m, now)
+      )
         pool.count++;
     }
     const pools = [...this.pools.values()];
@@ -174,7 +180,7 @@
     );
     const input = { pools, demand, saveMoney: deps.saveMoney, spareShare: deps.operator.spare_share, now };
     for (const [pool, count] of planRentals(input)) if (!this.renting.has(pool)) void this.rent(pool, count);
-    if (deps.saveMoney) this.returnIdle(now, demand);
+    if (deps.saveMoney) this.shrink(now, demand);
   }
 
   private async rent(pool: Pool, count: number): Promise<void> {
@@ -205,24 +211,41 @@
       pool.refusedUntil = now + (r.kind === 'refused' ? 2000 : REFUSED_MS);
   }
 
-  private returnIdle(now: number, demand: Demand): void {
+  /**
+   * Machines beyond the target take nothing new, and go once they are empty: their tasks are left to finish.
+   * When the demand comes back first, they are taken into use again instead of renting others.
+   */
+  private shrink(now: number, demand: Demand): void {
     const t = targets(demand, true, this.deps.operator.spare_share);
-    const idleMs = this.deps.operator.idle_return_s * 1000;
-    const up = [...this.deps.table.all()].filter((m) => m.reported && !m.deleting && !m.draining);
-    let ordinary = up.filter((m) => !m.spot).reduce((s, m) => s + m.type.cpus, 0);
-    let total = up.reduce((s, m) => s + m.type.cpus, 0);
-    const back: Machine[] = [];
-    const idle = up.filter(
-      (m) => [...m.entries.values()].every((e) => !e.onMachine()) && now - m.emptySince > idleMs,
-    );
-    idle.sort((a, b) => Number(a.spot) - Number(b.spot));
-    for (const m of idle) {
+    const up = [...this.deps.table.all()].filter((m) => m.reported && !m.deleting);
+    const active = up.filter((m) => !m.draining);
+    let ordinary = active.filter((m) => !m.spot).reduce((s, m) => s + m.type.cpus, 0);
+    let total = active.reduce((s, m) => s + m.type.cpus, 0);
+    for (const m of up) {
+      if (m.draining !== 'surplus') continue;
+      if (total + m.type.cpus / 2 < t.total || (!m.spot && ordinary < t.ordinary)) {
+        m.draining = null;
+        total += m.type.cpus;
+        if (!m.spot) ordinary += m.type.cpus;
+      }
+    }
+    const keepsService = (m: Machine): boolean => {
+      for (const e of m.entries.values()) if (e.onMachine() && e.job?.spec.kind === 'service') return true;
+      return false;
+    };
+    const busy = (m: Machine): number => m.usedCpus / m.type.cpus;
+    active.sort((a, b) => Number(a.spot) - Number(b.spot) || busy(a) - busy(b));
+    for (const m of active) {
       if (total - m.type.cpus < t.total || (!m.spot && ordinary - m.type.cpus < t.ordinary)) continue;
+      if (keepsService(m) || now - (m.rentedAt ?? 0) < 60_000) continue;
       total -= m.type.cpus;
       if (!m.spot) ordinary -= m.type.cpus;
-      m.draining = 'returned';
-      back.push(m);
+      m.draining = 'surplus';
     }
-    if (back.length > 0) void this.remove(back, 'idle').then(() => back.forEach((m) => (m.draining = null)));
+    const idleMs = this.deps.operator.idle_return_s * 1000;
+    const empty = up.filter(
+      (m) => m.draining === 'surplus' && m.usedCpus < 1e-6 && now - m.emptySince > idleMs,
+    );
+    if (empty.length > 0) void this.remove(empty, 'surplus');
   }
 }
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -17,6 +17,8 @@
   ordinary: number;
   /** CPUs of work that may use spot machines. */
   any: number;
+  /** CPUs of the biggest machine type. */
+  biggestCpus: number;
   /** Shapes that some waiting job needs, so that no type is rented which nobody can use. */
   usable(type: MachineType): boolean;
 }
@@ -40,7 +42,8 @@
     const ordinary = d.ordinary > 0 || d.any > 0 ? 2 * (d.ordinary + d.any) + 100 : 0;
     return { ordinary, total: ordinary };
   }
-  const ordinary = d.ordinary * (1 + spareShare);
+  // Half a machine more than is used, so that a service that comes now finds room while another machine boots.
+  const ordinary = d.ordinary > 0 ? d.ordinary * (1 + spareShare) + d.biggestCpus / 2 : 0;
   return { ordinary, total: ordinary + d.any * (1 + spareShare) };
 }
 
@@ -87,8 +90,10 @@
     out.set(p, n);
     left -= n * p.type.cpus;
   }
-  // What spot machines can't give is rented as ordinary ones.
-  if (left > 0 && spot.every((p) => p.refusedUntil > now))
-    for (const [p, n] of fill(ordinary, left, now, saveMoney)) out.set(p, Math.max(out.get(p) ?? 0, n));
+  // What spot machines can't give is rented as ordinary ones; where money counts only once much is missing.
+  const patience = saveMoney ? 0.4 * demand.any : 0;
+  if (left > patience && spot.every((p) => p.refusedUntil > now))
+    for (const [p, n] of fill(ordinary, left - patience, now, saveMoney))
+      out.set(p, Math.max(out.get(p) ?? 0, n));
   return out;
 }
--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -253,7 +253,7 @@
           s.gpus <= t.gpus &&
           s.memoryGb <= t.memoryGb,
       );
-    return { ordinary, any, usable };
+    return { ordinary, any, usable, biggestCpus: Math.max(...this.deps.types.map((t) => t.cpus)) };
   }
 
   /** Events come in bunches: one pass serves them all. */
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -310,7 +310,7 @@
       this.stop(e, e.job!.spec.checkpointS > 0 ? e.job!.spec.saveS : 0, 'moved off a slow machine');
       moves--;
     }
-    for (const m of table.all()) if (m.draining) this.drain(m, now);
+    for (const m of table.all()) if (m.draining === 'notice' || m.draining === 'faulty') this.drain(m, now);
   }
 
   private mostIdle(job: Job): Machine | null {
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -16,7 +16,7 @@
   silent_reports: number;
   /** Silent machines deleted per round, at most. */
   deletions_per_round: number;
-  /** Seconds a machine may stand empty before it is returned, where money counts. */
+  /** Seconds a machine beyond the target stands empty before it is returned, where money counts. */
   idle_return_s: number;
   /** Room kept free over what is used, where money counts. */
   spare_share: number;
