--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -1,6 +1,7 @@
 /** What the leader does, for the time of one claim. A new claim starts with empty tables. */
 import type { OperatorSettings } from '../settings/operator.js';
-import { type PlatformSettings, moneyCounts } from '../settings/platform.js';
+import type { PlatformSettings } from '../settings/platform.js';
+import { moneyCounts } from '../settings/money.js';
 import { type World, sleep } from '../runtime.js';
 import type { StateStore } from '../state-store/client.js';
 import { Cloud } from '../fleet/cloud.js';
@@ -102,7 +103,7 @@
       table: this.table,
       operator,
       types: deps.types,
-      saveMoney: moneyCounts(settings),
+      saveMoney: moneyCounts(settings, operator),
       reportS: settings.reportS,
       listLagS: settings.listLagS,
       requestName: () => `${settings.node}-${claim.revision}-${this.requests++}`,
--- a/src/main.ts
+++ b/src/main.ts
@@ -33,7 +33,7 @@
   }
 }
 
-function loadOperator(path: string | undefined): OperatorSettings {
+function loadOperator(path: string | undefined, location: string): OperatorSettings {
   let input: unknown = {};
   if (path !== undefined)
     try {
@@ -42,7 +42,7 @@
       if (!(e instanceof SyntaxError)) throw e;
       fail(`${path}: not JSON`);
     }
-  const s = readOperatorSettings(input);
+  const s = readOperatorSettings(input, location);
   return typeof s === 'string' ? fail(`${path}: ${s}`) : s;
 }
 
@@ -55,7 +55,7 @@
     .parse()
     .opts<{ config: string; operator?: string }>();
   const settings = loadPlatform(options.config);
-  const operator = loadOperator(options.operator);
+  const operator = loadOperator(options.operator, settings.zone);
   const log = pino(
     { level: process.env.LOG_LEVEL ?? 'info', base: { node: settings.node } },
     pino.destination({ dest: 2, sync: true }),
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -1,5 +1,6 @@
 import type { OperatorSettings } from '../settings/operator.js';
-import { type PlatformSettings, moneyCounts } from '../settings/platform.js';
+import type { PlatformSettings } from '../settings/platform.js';
+import { moneyCounts } from '../settings/money.js';
 import type { World } from '../runtime.js';
 import type { Job, JobBook } from '../jobs/book.js';
 import type { Entry, Machine, MachineTable } from '../workers/table.js';
@@ -39,7 +40,7 @@
 
   constructor(private readonly deps: PlacementDeps) {
     this.quota = new QuotaBook(deps.settings.teams);
-    this.saveMoney = moneyCounts(deps.settings);
+    this.saveMoney = moneyCounts(deps.settings, deps.operator);
     this.lastRound = deps.world.clock.now();
   }
 
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -3,6 +3,8 @@
 
 /** The operators' own settings; `operator.schema.json` has the meaning of a valid file and the defaults. */
 export interface OperatorSettings {
+  /** Whether money counts: as the platform's objectives say (a price or a useful share among them), always, or never. */
+  money: 'objectives' | 'counts' | 'free';
   /** Seconds between placement rounds (moves). */
   round_s: number;
   /** A machine is slow when tasks run this much longer on it than the same jobs elsewhere. */
@@ -23,14 +25,52 @@
   command_timeout_ms: number;
 }
 
-/** Settings, or one line that names the field at fault. */
-export function readOperatorSettings(input: unknown): OperatorSettings | string {
-  const validate = new Ajv({ useDefaults: true }).compile(schema);
-  const copy = structuredClone(input);
-  if (validate(copy)) return copy as OperatorSettings;
-  const e = validate.errors![0]!;
-  const extra = (e.params as { additionalProperty?: string }).additionalProperty;
-  return `${extra ?? (e.instancePath.slice(1) || 'file')}: ${extra ? 'unknown field' : e.message}`;
+const wrapper = {
+  type: 'object',
+  properties: {
+    deployments: {
+      type: 'array',
+      items: {
+        type: 'object',
+        additionalProperties: false,
+        required: ['locations', 'settings'],
+        properties: {
+          locations: { type: 'array', items: { type: 'string' }, minItems: 1 },
+          settings: { type: 'object' },
+        },
+      },
+    },
+  },
+};
+
+interface OperatorFile {
+  deployments?: { locations: string[]; settings: object }[];
+}
+
+/**
+ * Settings, or one line that names the field at fault. One file serves all deployments: what it says under
+ * `deployments` for the location of this node goes before what it says for all.
+ */
+export function readOperatorSettings(input: unknown, location = ''): OperatorSettings | string {
+  const ajv = new Ajv({ useDefaults: true });
+  const fault = (validate: ReturnType<Ajv['compile']>, path: string): string => {
+    const e = validate.errors![0]!;
+    const extra = (e.params as { additionalProperty?: string }).additionalProperty;
+    const field = `${path}${(extra ?? e.instancePath.slice(1)) || 'file'}`;
+    return `${field}: ${extra ? 'unknown field' : e.message}`;
+  };
+  const isFile = ajv.compile(wrapper);
+  if (!isFile(input)) return fault(isFile, '');
+  const { deployments = [], ...common } = input as OperatorFile;
+  const isSettings = ajv.compile(schema);
+  let chosen: object = { ...common };
+  if (!isSettings({ ...common })) return fault(isSettings, '');
+  for (const [i, d] of deployments.entries()) {
+    if (!isSettings({ ...d.settings })) return fault(isSettings, `deployments/${i}/settings/`);
+    if (d.locations.includes(location)) chosen = { ...common, ...d.settings };
+  }
+  isSettings(chosen);
+  return chosen as OperatorSettings;
 }
 
 export function defaultOperatorSettings(): OperatorSettings {
--- a/src/settings/platform.ts
+++ b/src/settings/platform.ts
@@ -137,8 +137,3 @@
     sockets: Math.max(50, Math.floor(number(limits, 'sockets', 'params.machine_limits.', 1) * 0.75)),
   };
 }
-
-/** Money counts only where the aims speak of it; elsewhere spare machines are insurance that costs nothing. */
-export function moneyCounts(s: PlatformSettings): boolean {
-  return s.objectives.some((o) => o.kind === 'price' || o.kind === 'useful');
-}
