--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -123,6 +123,7 @@
       table: this.table,
       attemptBase: this.baseToken,
       oldJobsOpen: () => this.everyoneKnown,
+      wallMs: deps.wallMs,
       isSilent: (m) => this.fleet.isSilent(m, world.clock.now()),
     });
   }
--- a/src/placement/order.ts
+++ b/src/placement/order.ts
@@ -1,5 +1,6 @@
 /** In which order waiting jobs are served: pure. */
 import type { Job } from '../jobs/book.js';
+import type { Objective } from '../settings/platform.js';
 import type { QuotaBook } from './quota.js';
 
 /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
@@ -17,9 +18,43 @@
   return out;
 }
 
-/** Production first, then what teams are guaranteed, then by priority; among these the earliest deadline. */
-export function servingOrder(jobs: Job[], guaranteed: Set<Job>): Job[] {
-  const due = (j: Job): number => (j.spec.deadlineS === null ? j.at + 1e9 : j.at + j.spec.deadlineS * 1000);
+/** When a class of jobs should be finished, in seconds after submission, soonest first. */
+export type FinishGoals = Map<string, number[]>;
+
+export function finishGoals(objectives: Objective[]): FinishGoals {
+  const out: FinishGoals = new Map();
+  for (const o of objectives)
+    if (o.kind === 'finished' && o.cls !== null && o.withinS !== null)
+      out.set(
+        o.cls,
+        [...(out.get(o.cls) ?? []), o.withinS].sort((a, b) => a - b),
+      );
+  return out;
+}
+
+/**
+ * The next time by which the job can still be finished in time, or Infinity: a job that will be late whatever
+ * is done waits behind those that need not be, so that a burst makes a few jobs very late and not all a little.
+ */
+export function nextDue(
+  j: Job,
+  goals: FinishGoals,
+  usualMs: (cls: string) => number,
+  wallMs: number,
+): number {
+  const times = j.spec.deadlineS !== null ? [j.spec.deadlineS] : (goals.get(j.spec.cls) ?? []);
+  const earliest = wallMs + usualMs(j.spec.cls);
+  for (const t of times) if (j.at + t * 1000 >= earliest) return j.at + t * 1000;
+  return Infinity;
+}
+
+/** Production first, then what teams are guaranteed, then by priority; among these the earliest due time. */
+export function servingOrder(jobs: Job[], guaranteed: Set<Job>, due: (j: Job) => number): Job[] {
   const rank = (j: Job): number => (j.spec.priority === 0 ? 0 : guaranteed.has(j) ? 1 : 1 + j.spec.priority);
-  return [...jobs].sort((a, b) => rank(a) - rank(b) || due(a) - due(b) || a.at - b.at || a.idx - b.idx);
+  const dues = new Map(jobs.map((j) => [j, due(j)]));
+  const byDue = (a: Job, b: Job): number => {
+    const [x, y] = [dues.get(a)!, dues.get(b)!];
+    return x === y ? 0 : x - y;
+  };
+  return [...jobs].sort((a, b) => rank(a) - rank(b) || byDue(a, b) || a.at - b.at || a.idx - b.idx);
 }
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -5,7 +5,7 @@
 import type { Job, JobBook } from '../jobs/book.js';
 import type { Entry, Machine, MachineTable } from '../workers/table.js';
 import { type ChoiceContext, allowedOn, chooseMachine, openZones } from './choose.js';
-import { servingOrder, withinGuarantee } from './order.js';
+import { type FinishGoals, finishGoals, nextDue, servingOrder, withinGuarantee } from './order.js';
 import { QuotaBook } from './quota.js';
 import { RunTimes } from './run-times.js';
 import { Timings, isSlow, selectMove, trimTimings } from './stragglers.js';
@@ -20,6 +20,8 @@
   /** May jobs of former leaders be acted on yet? */
   oldJobsOpen(): boolean;
   isSilent(m: Machine): boolean;
+  /** Time of day: what users' due times are measured in. */
+  wallMs(): number;
 }
 
 const STARTS_PER_PASS = 400;
@@ -35,12 +37,14 @@
   private drainNext = 0;
   private guaranteed = new Set<Job>();
   private readonly saveMoney: boolean;
+  private readonly goals: FinishGoals;
   /** The most CPUs that one service asked of its team: arrays leave that much under the team's limit. */
   private readonly serviceCpus = new Map<string, number>();
 
   constructor(private readonly deps: PlacementDeps) {
     this.quota = new QuotaBook(deps.settings.teams);
     this.saveMoney = moneyCounts(deps.settings, deps.operator);
+    this.goals = finishGoals(deps.settings.objectives);
     this.lastRound = deps.world.clock.now();
   }
 
@@ -198,7 +202,10 @@
     const ctx = this.context(now);
     const full = new Set<string>();
     let starts = STARTS_PER_PASS;
-    for (const job of servingOrder(waiting, this.guaranteed)) {
+    const wall = this.deps.wallMs();
+    const usual = (cls: string): number => this.runTimes.usual(cls) ?? 0;
+    const due = (j: Job): number => nextDue(j, this.goals, usual, wall);
+    for (const job of servingOrder(waiting, this.guaranteed, due)) {
       const free =
         !job.spec.spread && !job.spec.oneZone && job.failedOn.size === 0 && !this.guaranteed.has(job);
       if (free && full.has(job.key)) continue;
