--- a/src/placement/order.ts
+++ b/src/placement/order.ts
@@ -33,22 +33,19 @@
 }
 
 /**
- * The next time by which the job can still be finished in time, or Infinity: a job that will be late whatever
- * is done waits behind those that need not be, so that a burst makes a few jobs very late and not all a little.
+ * When the job's last task must have started for the job to be in time, or Infinity: a job that will be late
+ * whatever is done waits behind those that need not be, so that a burst makes few jobs very late and not all.
  */
-export function nextDue(
-  j: Job,
-  goals: FinishGoals,
-  usualMs: (cls: string) => number,
-  wallMs: number,
-): number {
+export function latestStart(j: Job, goals: FinishGoals, expectedMs: number, wallMs: number): number {
   const times = j.spec.deadlineS !== null ? [j.spec.deadlineS] : (goals.get(j.spec.cls) ?? []);
-  const earliest = wallMs + usualMs(j.spec.cls);
-  for (const t of times) if (j.at + t * 1000 >= earliest) return j.at + t * 1000;
+  for (const t of times) {
+    const start = j.at + t * 1000 - expectedMs;
+    if (start >= wallMs) return start;
+  }
   return Infinity;
 }
 
-/** Production first, then what teams are guaranteed, then by priority; among these the earliest due time. */
+/** Production first, then what teams are guaranteed, then by priority; among these the earliest latest start. */
 export function servingOrder(jobs: Job[], guaranteed: Set<Job>, due: (j: Job) => number): Job[] {
   const rank = (j: Job): number => (j.spec.priority === 0 ? 0 : guaranteed.has(j) ? 1 : 1 + j.spec.priority);
   const dues = new Map(jobs.map((j) => [j, due(j)]));
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -5,7 +5,7 @@
 import type { Job, JobBook } from '../jobs/book.js';
 import type { Entry, Machine, MachineTable } from '../workers/table.js';
 import { type ChoiceContext, allowedOn, chooseMachine, openZones } from './choose.js';
-import { type FinishGoals, finishGoals, nextDue, servingOrder, withinGuarantee } from './order.js';
+import { type FinishGoals, finishGoals, latestStart, servingOrder, withinGuarantee } from './order.js';
 import { QuotaBook } from './quota.js';
 import { RunTimes } from './run-times.js';
 import { Timings, isSlow, selectMove, trimTimings } from './stragglers.js';
@@ -63,7 +63,7 @@
     if (e.cause === 'done') {
       if (e.runningSince > 0 && job.spec.kind === 'array') {
         const ms = now - e.runningSince;
-        this.runTimes.record(job.spec.cls, ms);
+        this.runTimes.record(job.spec.cls, ms, job.spec.estimateS * 1000);
         this.timings.record(job.idx, machine.idx, ms);
       }
       machine.failedJobs.delete(job.idx);
@@ -203,8 +203,9 @@
     const full = new Set<string>();
     let starts = STARTS_PER_PASS;
     const wall = this.deps.wallMs();
-    const usual = (cls: string): number => this.runTimes.usual(cls) ?? 0;
-    const due = (j: Job): number => nextDue(j, this.goals, usual, wall);
+    const expected = (j: Job): number =>
+      this.timings.usual(j.idx) ?? this.runTimes.expected(j.spec.cls, j.spec.estimateS * 1000);
+    const due = (j: Job): number => latestStart(j, this.goals, expected(j), wall);
     for (const job of servingOrder(waiting, this.guaranteed, due)) {
       const free =
         !job.spec.spread && !job.spec.oneZone && job.failedOn.size === 0 && !this.guaranteed.has(job);
--- a/src/placement/run-times.ts
+++ b/src/placement/run-times.ts
@@ -1,10 +1,12 @@
 import { type Histogram, build } from 'hdr-histogram-js';
 
 const MAX_MS = 24 * 3600 * 1000;
+const BIAS_UNIT = 1000;
 
 /** Run times learned per class, and per job how long its tasks take, on each machine and in all. */
 export class RunTimes {
   private readonly byClass = new Map<string, Histogram>();
+  private readonly bias = new Map<string, Histogram>();
 
   private histogram(): Histogram {
     return build({
@@ -16,10 +18,23 @@
     });
   }
 
-  record(cls: string, ms: number): void {
-    let h = this.byClass.get(cls);
-    if (!h) this.byClass.set(cls, (h = this.histogram()));
-    h.recordValue(Math.max(1, Math.min(MAX_MS, Math.round(ms))));
+  /** Owners' estimates are wrong by much, on some days all in one direction: that bias is learnt, too. */
+  record(cls: string, ms: number, estimateMs: number): void {
+    this.add(this.byClass, cls, ms);
+    if (estimateMs > 0) this.add(this.bias, cls, (ms / estimateMs) * BIAS_UNIT);
+  }
+
+  private add(map: Map<string, Histogram>, cls: string, value: number): void {
+    let h = map.get(cls);
+    if (!h) map.set(cls, (h = this.histogram()));
+    h.recordValue(Math.max(1, Math.min(MAX_MS, Math.round(value))));
+  }
+
+  /** What a task of the class is expected to take, given its owner's estimate. */
+  expected(cls: string, estimateMs: number): number {
+    const h = this.bias.get(cls);
+    const bias = h && h.totalCount >= 20 ? h.getValueAtPercentile(50) / BIAS_UNIT : 1;
+    return estimateMs > 0 ? estimateMs * bias : (this.usual(cls) ?? 0);
   }
 
   /** The median of a class in milliseconds, or null with fewer than `least` samples. */
