--- a/src/placement/order.ts
+++ b/src/placement/order.ts
@@ -18,6 +18,9 @@
   return out;
 }
 
+/** Tasks of one job differ: a goal is given up only when even a task this much shorter would miss it. */
+const HOPE = 0.6;
+
 /** When a class of jobs should be finished, in seconds after submission, soonest first. */
 export type FinishGoals = Map<string, number[]>;
 
@@ -32,26 +35,31 @@
   return out;
 }
 
+export interface Urgency {
+  /** Which of the job's goals can still be met; the number of goals if none. */
+  goal: number;
+  /** CPU milliseconds that its waiting tasks will take. */
+  work: number;
+}
+
 /**
- * When the job's last task must have started for the job to be in time, or Infinity: a job that will be late
- * whatever is done waits behind those that need not be, so that a burst makes few jobs very late and not all.
+ * Few jobs late, and not all a little: a job that will miss its goal whatever is done waits behind those that
+ * need not miss theirs, and among these the one with the least work left goes first.
  */
-export function latestStart(j: Job, goals: FinishGoals, expectedMs: number, wallMs: number): number {
+export function urgency(j: Job, goals: FinishGoals, expectedMs: number, wallMs: number): Urgency {
   const times = j.spec.deadlineS !== null ? [j.spec.deadlineS] : (goals.get(j.spec.cls) ?? []);
-  for (const t of times) {
-    const start = j.at + t * 1000 - expectedMs;
-    if (start >= wallMs) return start;
-  }
-  return Infinity;
+  const end = wallMs + HOPE * expectedMs;
+  const goal = times.findIndex((t) => j.at + t * 1000 >= end);
+  return { goal: goal < 0 ? times.length : goal, work: j.pending() * j.spec.cpus * expectedMs };
 }
 
-/** Production first, then what teams are guaranteed, then by priority; among these the earliest latest start. */
-export function servingOrder(jobs: Job[], guaranteed: Set<Job>, due: (j: Job) => number): Job[] {
+/** Production first, then what teams are guaranteed, then by priority and urgency. */
+export function servingOrder(jobs: Job[], guaranteed: Set<Job>, urgencyOf: (j: Job) => Urgency): Job[] {
   const rank = (j: Job): number => (j.spec.priority === 0 ? 0 : guaranteed.has(j) ? 1 : 1 + j.spec.priority);
-  const dues = new Map(jobs.map((j) => [j, due(j)]));
-  const byDue = (a: Job, b: Job): number => {
-    const [x, y] = [dues.get(a)!, dues.get(b)!];
-    return x === y ? 0 : x - y;
+  const known = new Map(jobs.map((j) => [j, urgencyOf(j)]));
+  const byUrgency = (a: Job, b: Job): number => {
+    const [x, y] = [known.get(a)!, known.get(b)!];
+    return x.goal - y.goal || x.work - y.work;
   };
-  return [...jobs].sort((a, b) => rank(a) - rank(b) || byDue(a, b) || a.at - b.at || a.idx - b.idx);
+  return [...jobs].sort((a, b) => rank(a) - rank(b) || byUrgency(a, b) || a.at - b.at || a.idx - b.idx);
 }
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -5,7 +5,14 @@
 import type { Job, JobBook } from '../jobs/book.js';
 import type { Entry, Machine, MachineTable } from '../workers/table.js';
 import { type ChoiceContext, allowedOn, chooseMachine, openZones } from './choose.js';
-import { type FinishGoals, finishGoals, latestStart, servingOrder, withinGuarantee } from './order.js';
+import {
+  type FinishGoals,
+  type Urgency,
+  finishGoals,
+  servingOrder,
+  urgency,
+  withinGuarantee,
+} from './order.js';
 import { QuotaBook } from './quota.js';
 import { RunTimes } from './run-times.js';
 import { Timings, isSlow, selectMove, trimTimings } from './stragglers.js';
@@ -205,8 +212,8 @@
     const wall = this.deps.wallMs();
     const expected = (j: Job): number =>
       this.timings.usual(j.idx) ?? this.runTimes.expected(j.spec.cls, j.spec.estimateS * 1000);
-    const due = (j: Job): number => latestStart(j, this.goals, expected(j), wall);
-    for (const job of servingOrder(waiting, this.guaranteed, due)) {
+    const order = (j: Job): Urgency => urgency(j, this.goals, expected(j), wall);
+    for (const job of servingOrder(waiting, this.guaranteed, order)) {
       const free =
         !job.spec.spread && !job.spec.oneZone && job.failedOn.size === 0 && !this.guaranteed.has(job);
       if (free && full.has(job.key)) continue;
