Followers keep worker leases while the leader is out of reach, under its grant

Cause: when two zones are apart, workers behind the cut reach only followers, which sent them back to the leader until their leases ran out; half of the replicas and array tasks died after 12 s of a 15 s cut, and four good machines were deleted as silent. Ruled out: slow detection (all was noticed at once). Followers now hold a grant bounded by their own clock and renew leases with the worker's own token and no orders; lease-out proofs add that time; machines in a zone that seems cut off are not deleted.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -18,6 +18,8 @@
   requestName(): string;
   leads(): boolean;
   demand(): Demand;
+  /** Zones that seem cut off from us: silence there proves nothing. */
+  cutZones(): Set<string>;
   /** Answered 200: the machine and everything on it are gone. */
   gone(m: Machine): void;
 }
@@ -113,10 +115,11 @@
     const ordinary = up.filter((m) => !m.spot);
     const silentOrdinary = silent.filter((m) => !m.spot);
     const cutOff = silentOrdinary.length > Math.max(2, ordinary.length * 0.3);
+    const cutZones = this.deps.cutZones();
     let room = this.bound(now);
     for (const m of silent) {
       const noticed = m.noticeUntil !== null && now > m.noticeUntil;
-      if (!noticed && (cutOff || room-- <= 0)) continue;
+      if (!noticed && (cutOff || cutZones.has(m.zone) || room-- <= 0)) continue;
       if (!noticed) this.deletions.push(now);
       dead.push(m);
     }
--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -2,7 +2,7 @@
 import type { OperatorSettings } from '../settings/operator.js';
 import type { PlatformSettings } from '../settings/platform.js';
 import { moneyCounts } from '../settings/money.js';
-import { type World, sleep } from '../runtime.js';
+import { DRIFT, type World, sleep } from '../runtime.js';
 import type { StateStore } from '../state-store/client.js';
 import { Cloud } from '../fleet/cloud.js';
 import { Fleet } from '../fleet/fleet.js';
@@ -17,6 +17,7 @@
 import { type Entry, type Machine, MachineTable } from '../workers/table.js';
 import type { MachineType, Order, WorkerReport } from '../wire/model.js';
 import type { Guard, News } from '../wire/messages.js';
+import { Grants, keepMs } from './keeping.js';
 import { type Claim, TOKEN_SPAN } from './leadership.js';
 
 export interface DutyDeps {
@@ -51,6 +52,8 @@
   private woken = false;
   private heardAt: number;
   private everyoneKnown = false;
+  private readonly keepMs: number;
+  private readonly grants: Grants;
 
   constructor(
     private readonly deps: DutyDeps,
@@ -60,6 +63,8 @@
     const leads = (): boolean => this.state === 'serving' && deps.leads();
     this.baseToken = claim.revision * TOKEN_SPAN;
     this.heardAt = world.clock.now();
+    this.keepMs = keepMs(settings.cancelS, settings.leaseS);
+    this.grants = new Grants(this.keepMs, this.heardAt);
     this.table = new MachineTable(this.baseToken, settings.leaseS * 1000, (id) => this.book.get(id), {
       held: (e) => this.placement.held(e),
       left: (e) => {
@@ -109,6 +114,7 @@
       requestName: () => `${settings.node}-${claim.revision}-${this.requests++}`,
       leads,
       demand: () => this.demand(),
+      cutZones: () => this.cutZones(),
       gone: (m) => {
         this.table.remove(m, world.clock.now());
         this.registry.removed(m);
@@ -279,8 +285,9 @@
     const { world, settings } = this.deps;
     if (this.state === 'serving' && this.deps.leads()) {
       const now = world.clock.now();
+      const keptUntil = this.grants.keptUntil();
       for (const m of this.table.all()) {
-        if ((m.reported || m.suspect) && this.table.leaseOver(m, now)) {
+        if ((m.reported || m.suspect) && this.table.leaseOver(m, keptUntil, now)) {
           world.log.info({ id: m.id }, 'worker lease has run out');
           this.table.expire(m, now);
         }
@@ -347,6 +354,35 @@
     return { token: this.table.token(m), orders: m.stored ? pendingStops(m) : [] };
   }
 
+  /** A follower asks whether it may keep leases. Not while some machine stays silent: its lease must end some time. */
+  asked(from: string): { revision: number; keep: boolean } | null {
+    if (this.state !== 'serving' || !this.deps.leads()) return null;
+    const now = this.deps.world.clock.now();
+    const keep = ![...this.table.all()].some((m) => this.fleet.isSilent(m, now - this.keepMs / 4));
+    this.grants.asked(from, keep, now);
+    return { revision: this.claim.revision, keep };
+  }
+
+  /** While paused this node may keep leases as a follower may, counted from when its own lease surely lived. */
+  keepWhilePaused(r: WorkerReport, sinceValidMs: number): boolean {
+    if (this.state !== 'serving' || sinceValidMs >= this.keepMs / DRIFT) return false;
+    if (Math.floor(r.token / TOKEN_SPAN) !== this.claim.revision) return false;
+    const m = this.table.get(r.machine);
+    if (m) m.renewedAt = this.deps.world.clock.now();
+    return true;
+  }
+
+  /** Zones whose controllers went silent all at once: their machines may be well, and be kept by them. */
+  private cutZones(): Set<string> {
+    const { settings, world } = this.deps;
+    const now = world.clock.now();
+    const out = new Set<string>();
+    for (const p of settings.peers)
+      if (p.zone !== settings.zone && this.grants.outOfContact(p.name, now)) out.add(p.zone);
+    for (const p of settings.peers) if (this.grants.inContact(p.name, now)) out.delete(p.zone);
+    return out;
+  }
+
   progress(): [string, Progress][] {
     return [...this.book.all()].map((j) => [j.spec.id, this.progressOf(j)]);
   }
--- a/src/node.ts
+++ b/src/node.ts
@@ -5,12 +5,13 @@
 import { Cloud } from './fleet/cloud.js';
 import { type Answer, JobsApi, type Progress } from './jobs/api.js';
 import { LeaderDuty } from './leadership/duty.js';
+import { ASK_MS, Keeper, keepMs } from './leadership/keeping.js';
 import { Leadership } from './leadership/leadership.js';
 import type { PeerMessage } from './peers/peers.js';
 import { StateStore } from './state-store/client.js';
 import type { Body } from './wire/cbor.js';
 import { catalogBody, readReport, readTypes, redirectBody, reportAnswer } from './wire/messages.js';
-import type { MachineType } from './wire/model.js';
+import type { MachineType, WorkerReport } from './wire/model.js';
 
 const TYPES_KEY = 'catalog';
 const PROGRESS_MS = 700;
@@ -23,6 +24,7 @@
   private duty: LeaderDuty | null = null;
   private types: MachineType[] | null = null;
   private progress = new Map<string, Progress>();
+  private readonly keeper: Keeper;
 
   constructor(
     private readonly world: World,
@@ -37,6 +39,7 @@
       rps: settings.stateRps,
       writeRps: settings.stateWriteRps,
     });
+    this.keeper = new Keeper(keepMs(settings.cancelS, settings.leaseS));
     this.cloud = new Cloud(world, settings.cloud, settings.cloudRps);
     this.leadership = new Leadership(world, settings, operator.leader_lease_ms, this.store, {
       elected: () => this.startDuty(),
@@ -58,6 +61,7 @@
   run(): void {
     void this.learnTypes().then(() => this.leadership.run());
     this.tellProgress();
+    this.askLeader();
   }
 
   healthy(): boolean {
@@ -108,8 +112,32 @@
     this.world.clock.after(PROGRESS_MS, () => this.tellProgress());
   }
 
+  private askLeader(): void {
+    const { clock } = this.world;
+    if (!this.duty) this.tellPeers({ t: 'ask', from: this.settings.node, at: clock.now() });
+    clock.after(ASK_MS, () => this.askLeader());
+  }
+
   peerMessage(m: PeerMessage): void {
-    if (m.t === 'progress' && !this.duty) this.progress = new Map(m.jobs);
+    switch (m.t) {
+      case 'progress':
+        if (!this.duty) this.progress = new Map(m.jobs);
+        return;
+      case 'ask': {
+        const grant = this.duty?.asked(m.from);
+        if (grant) this.tellPeers({ t: 'grant', from: this.settings.node, to: m.from, at: m.at, ...grant });
+        return;
+      }
+      case 'grant':
+        if (m.to === this.settings.node)
+          this.keeper.granted(m.at, m.revision, m.keep, this.world.clock.now());
+    }
+  }
+
+  /** May this node, which does not lead now, renew the worker's lease? See keeping.ts. */
+  private mayKeep(r: WorkerReport): boolean {
+    if (this.duty) return this.duty.keepWhilePaused(r, this.leadership.sinceValid());
+    return this.keeper.mayAnswer(r.token, this.leadership.standing(), this.world.clock.now());
   }
 
   /** A worker's report. Only the leader answers 200: anything else would hold the worker while its lease runs out. */
@@ -119,6 +147,7 @@
     if (!report) return { status: 400, body: { error: 'not a report' } };
     const answer = this.leadership.leads() ? this.duty?.beat(report) : undefined;
     if (answer) return { status: 200, body: reportAnswer(answer.token, answer.orders) };
+    if (this.mayKeep(report)) return { status: 200, body: reportAnswer(report.token, []) };
     const leader = this.leadership.leader();
     if (leader === null || leader === this.settings.node) return { status: 503, body: {}, retryAfterS: 1 };
     return { status: 421, body: redirectBody(leader) };
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -6,7 +6,8 @@
 
 export type PeerMessage =
   | { t: 'progress'; from: string; jobs: [string, { done: number; running: number }][] }
-  | { t: 'health'; from: string; state: boolean };
+  | { t: 'ask'; from: string; at: number }
+  | { t: 'grant'; from: string; to: string; at: number; revision: number; keep: boolean };
 
 const packr = new Packr({ useRecords: false });
 const MAX_FRAME = 4 * 1024 * 1024;
--- a/src/workers/table.ts
+++ b/src/workers/table.ts
@@ -272,9 +272,9 @@
     for (const e of entries) if (e.open) e.fence = m.fence;
   }
 
-  /** The worker's lease has surely run out, counted from the last answer that may have renewed it. */
-  leaseOver(m: Machine, now: number): boolean {
-    return now - m.renewedAt > this.leaseMs * DRIFT + 500;
+  /** The worker's lease has surely run out, counted from the last answer, ours or a keeper's, that may have renewed it. */
+  leaseOver(m: Machine, keptUntil: number, now: number): boolean {
+    return now - Math.max(m.renewedAt, keptUntil) > this.leaseMs * DRIFT + 500;
   }
 
   expire(m: Machine, now: number): void {
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -100,6 +100,30 @@
     expectKept(o);
   });
 
+/** Which hosts are in a zone: its controllers and its machines. */
+function inZone(c: Cluster, zone: string): (host: string) => boolean {
+  const controllers = zone === 'a' ? ['n0:80', 'n2:80'] : ['n1:80'];
+  return (h) => {
+    if (controllers.includes(h)) return true;
+    const m = /^w-(i-\d+):/.exec(h);
+    return m !== null && c.cloud.machines.get(m[1]!)?.zone === zone;
+  };
+}
+
+for (const seed of [61, 62, 63])
+  test(`two zones apart for longer than a worker lease, twice (${seed})`, async () => {
+    const o = await play({ seed, ordinaryUp: 8 }, (c, s) => {
+      if (s === 15 || s === 40)
+        c.net.cuts.push({
+          a: inZone(c, 'a'),
+          b: inZone(c, 'b'),
+          until: c.clock.time + (s === 15 ? 9500 : 25_000),
+          mode: c.luck.pick(['hold', 'reset']),
+        });
+    });
+    expectKept(o);
+  });
+
 /** Crashes, outages, refusals, cuts, hangs and losses on top of each other. */
 function chaos(c: Cluster, s: number): void {
   const luck = c.luck;
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -21,6 +21,7 @@
   log?: boolean;
 }
 
+const ZONE_OF: Record<string, string> = { n0: 'a', n1: 'b', n2: 'a' };
 const quiet = { info: () => undefined, debug: () => undefined, error: () => undefined };
 export const REPORT_MS = 1000;
 export const LEASE_MS = 8000;
@@ -93,10 +94,12 @@
     const money: Objective[] = this.config.saveMoney ? [{ kind: 'price', cls: null, withinS: null }] : [];
     return {
       node: name,
-      zone: 'a',
+      zone: ZONE_OF[name]!,
       listen: `${name}:80`,
       peerBind: `${name}:81`,
-      peers: [],
+      peers: this.names
+        .filter((n) => n !== name)
+        .map((n) => ({ name: n, zone: ZONE_OF[n]!, address: `${n}:81` })),
       cloud: 'cloud:1',
       state: 'state:1',
       nodes: 3,
@@ -133,7 +136,9 @@
       random: () => this.luck.unit(),
     };
     const tell = (m: Parameters<ControllerNode['peerMessage']>[0]): void => {
-      for (const [other, l] of this.lives) if (other !== name && l.alive) l.node.peerMessage(m);
+      for (const [other, l] of this.lives)
+        if (other !== name)
+          this.net.tell(`${name}:80`, `${other}:80`, () => l.alive && l.node.peerMessage(m));
     };
     const node = new ControllerNode(
       world,
--- a/test/sim/network.ts
+++ b/test/sim/network.ts
@@ -66,6 +66,11 @@
     return h.handler ? h.handler(method, path, body, from) : null;
   }
 
+  /** A message without an answer, as between controllers: delayed, held or lost like the rest. */
+  tell(from: string, to: string, arrive: () => void): void {
+    this.carry(from, to, arrive, () => undefined);
+  }
+
   send(
     from: string,
     to: string,
