--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -27,6 +27,7 @@
 const REFUSED_MS = 12_000;
 const PLAN_MS = 1000;
 const BOOT_FACTOR = 2.3;
+const TAKEOVER_MS = 2000;
 
 /** Rents before need, returns what stands idle, deletes what is silent. Only the leader has one. */
 export class Fleet {
@@ -106,10 +107,21 @@
     );
   }
 
+  /**
+   * After a takeover all old jobs wait for the last machine to speak. Where most have answered our probes at
+   * once, one that has not is likely dead: it is not given the time that a silent machine has otherwise.
+   */
+  private holdsUpTakeover(m: Machine, up: Machine[], now: number): boolean {
+    if (!m.suspect || m.reported || now - m.heardAt < TAKEOVER_MS) return false;
+    return up.filter((x) => x.certain()).length > 0.6 * up.length;
+  }
+
   /** Machines that say nothing, or never came up: deletion is the quick proof that nothing runs there. */
   private dropDead(now: number): void {
     const up = [...this.deps.table.all()].filter((m) => m.reported || m.stored);
-    const silent = up.filter((m) => this.isSilent(m, now) && !m.deleting);
+    const silent = up.filter(
+      (m) => (this.isSilent(m, now) || this.holdsUpTakeover(m, up, now)) && !m.deleting,
+    );
     const dead: Machine[] = [];
     // Many silent ordinary machines at once are a sign that it is we who are cut off.
     const ordinary = up.filter((m) => !m.spot);
