--- a/src/placement/stragglers.ts
+++ b/src/placement/stragglers.ts
@@ -35,17 +35,16 @@
   }
 
   /** How many jobs ran longer on the machine, by the ratio, than the same jobs elsewhere; and how many did not. */
-  compare(machine: number, ratio: number): { slower: number; normal: number; samples: number } {
-    let [slower, normal, samples] = [0, 0, 0];
+  compare(machine: number, ratio: number): { slower: number; normal: number } {
+    let [slower, normal] = [0, 0];
     for (const list of this.byJob.values()) {
       const here = list.filter((s) => s.machine === machine).map((s) => s.ms);
       const elsewhere = list.filter((s) => s.machine !== machine).map((s) => s.ms);
       if (here.length === 0 || elsewhere.length < 3) continue;
-      samples += here.length;
       if (median(here) >= ratio * median(elsewhere)) slower++;
       else normal++;
     }
-    return { slower, normal, samples };
+    return { slower, normal };
   }
 
   forget(job: number): void {
@@ -65,12 +64,9 @@
   }
 }
 
-/** Tasks of one job differ, so one slow task of each of two jobs is no proof yet. */
-const LEAST_SAMPLES = 4;
-
 export function isSlow(t: Timings, machine: number, ratio: number, jobs: number): boolean {
-  const { slower, normal, samples } = t.compare(machine, ratio);
-  return slower >= jobs && slower >= 2 * normal && samples >= LEAST_SAMPLES;
+  const { slower, normal } = t.compare(machine, ratio);
+  return slower >= jobs && slower > normal;
 }
 
 /** A gang moves whole or not at all. */
