--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -27,8 +27,6 @@
 const REFUSED_MS = 12_000;
 const PLAN_MS = 1000;
 const BOOT_FACTOR = 2.3;
-/** A machine with more replicas than that is not worth emptying. */
-const MOST_MOVED = 4;
 const TAKEOVER_MS = 2000;
 
 /** Rents before need, returns what stands idle, deletes what is silent. Only the leader has one. */
@@ -167,7 +165,7 @@
   private smooth(d: Demand): Demand {
     const s = this.smoothed ?? { ordinary: d.ordinary, any: d.any };
     const up = 0.12;
-    const down = 0.02;
+    const down = 0.04;
     const mix = (old: number, now: number): number => old + (now - old) * (now > old ? up : down);
     this.smoothed = { ordinary: Math.max(d.ordinary, mix(s.ordinary, d.ordinary)), any: mix(s.any, d.any) };
     return { ...d, ...this.smoothed };
@@ -246,20 +244,15 @@
         if (!m.spot) ordinary += m.type.cpus;
       }
     }
-    const services = (m: Machine): number => {
-      let n = 0;
-      for (const e of m.entries.values()) if (e.onMachine() && e.job?.spec.kind === 'service') n++;
-      return n;
+    const keepsService = (m: Machine): boolean => {
+      for (const e of m.entries.values()) if (e.onMachine() && e.job?.spec.kind === 'service') return true;
+      return false;
     };
-    // Replicas that are few on their machine are moved together with others, one machine at a time.
-    let emptying = up.some((m) => m.draining === 'surplus' && services(m) > 0);
     const busy = (m: Machine): number => m.usedCpus / m.type.cpus;
-    active.sort((a, b) => Number(a.spot) - Number(b.spot) || services(a) - services(b) || busy(a) - busy(b));
+    active.sort((a, b) => Number(a.spot) - Number(b.spot) || busy(a) - busy(b));
     for (const m of active) {
       if (total - m.type.cpus < t.total || (!m.spot && ordinary - m.type.cpus < t.ordinary)) continue;
-      const replicas = services(m);
-      if ((replicas > 0 && emptying) || replicas > MOST_MOVED || now - (m.rentedAt ?? 0) < 60_000) continue;
-      emptying ||= replicas > 0;
+      if (keepsService(m) || now - (m.rentedAt ?? 0) < 60_000) continue;
       total -= m.type.cpus;
       if (!m.spot) ordinary -= m.type.cpus;
       m.draining = 'surplus';
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -32,8 +32,6 @@
 }
 
 const STARTS_PER_PASS = 400;
-/** A start that is stopped sooner was no start to its users. */
-const SETTLED_MS = 35_000;
 
 /** Which task goes where, when, and instead of what. Sends nothing: it holds and stops entries in the table. */
 export class Placement {
@@ -328,10 +326,7 @@
       this.stop(e, e.job!.spec.checkpointS > 0 ? e.job!.spec.saveS : 0, 'moved off a slow machine');
       moves--;
     }
-    for (const m of table.all()) {
-      if (m.draining === 'notice' || m.draining === 'faulty') this.drain(m, now);
-      if (m.draining === 'surplus') this.moveReplicas(m, now);
-    }
+    for (const m of table.all()) if (m.draining === 'notice' || m.draining === 'faulty') this.drain(m, now);
   }
 
   private mostIdle(job: Job): Machine | null {
@@ -376,41 +371,6 @@
     }
   }
 
-  /**
-   * A machine that is to be returned: its arrays finish there, its replicas move, each only to a machine that
-   * has the image and room, and never two of a job at a time, so that hardly anybody notices.
-   */
-  private moveReplicas(m: Machine, now: number): void {
-    const others = [...this.deps.table.all()].filter((x) => x !== m && this.usable(x));
-    const taken = new Map<Machine, number>();
-    for (const e of [...m.entries.values()]) {
-      const job = e.job;
-      if (
-        job?.spec.kind !== 'service' ||
-        e.state !== 'running' ||
-        e.stop ||
-        now - e.runningSince < SETTLED_MS
-      )
-        continue;
-      const whole = [...job.held.values()].every((list) =>
-        list.every((x) => x.state === 'running' && !x.stop),
-      );
-      if (job.pending() > 0 || !whole) continue;
-      const warm = others.filter((x) => x.images.has(job.spec.image) && this.zoneAfterMove(job, e, x));
-      const target = this.nextInTurn(job, warm, taken);
-      if (!target) continue;
-      taken.set(target, (taken.get(target) ?? 0) + job.spec.cpus);
-      this.stop(e, job.spec.saveS, 'machine is returned');
-    }
-  }
-
-  /** May the replica start there once it has left its present machine? */
-  private zoneAfterMove(job: Job, moved: Entry, to: Machine): boolean {
-    if (to.zone === moved.machine.zone) return true;
-    const open = openZones(job);
-    return !open || open(to.zone);
-  }
-
   private nextInTurn(job: Job, others: Machine[], taken: Map<Machine, number>): Machine | null {
     for (let i = 0; i < others.length; i++) {
       const m = others[(this.drainNext + i) % others.length]!;
