--- /dev/null
+++ b/test/api.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { readJob, readReport } from '../src/wire/messages.js';
+import { decodeMap, encode, narrow, wide } from '../src/wire/cbor.js';
+import { Cluster } from './sim/cluster.js';
+import type { Reply } from '../src/runtime.js';
+
+async function asked(c: Cluster, method: string, path: string, body: object | null): Promise<Reply> {
+  let reply: Reply | null = null;
+  void c.net.send('user', 'n0:80', method, path, body as Reply['body'] | null, 5000).then((r) => (reply = r));
+  for (let i = 0; i < 60 && !reply; i++) await c.run(0.1);
+  return reply!;
+}
+
+function quiet(seed: number): Cluster {
+  const c = new Cluster({ seed });
+  c.net.lossy = 0;
+  return c;
+}
+
+test('malformed, impossible, unknown and repeated submissions', async () => {
+  const c = quiet(5);
+  await c.run(3);
+  const job = c.jobBody({ grind: 'array', grist: 'batch', sacks: 3, scatter: false });
+  const status = async (over: object): Promise<number> =>
+    (await asked(c, 'POST', '/v1/jobs', { ...job, ...over })).status;
+  for (const over of [
+    { id: 'x' },
+    { sacks: 0 },
+    { sacks: 100_001 },
+    { sacks: 1.5 },
+    { grind: 'cron' },
+    { precedence: 'urgent' },
+    { vcpus: -1 },
+    { one_zone: 'yes' },
+    { stone_kinds: 'g8' },
+    { seed: undefined },
+  ])
+    assert.equal(await status(over), 400, JSON.stringify(over));
+  assert.equal(await status({ miller: 'nobody' }), 422);
+  assert.equal(await status({ vcpus: 17 }), 422);
+  assert.equal(await status({ yard: 'nowhere' }), 422);
+  assert.equal(await status({ grind: 'daemon', sacks: 21 }), 422, 'a service over its limit as a whole');
+  assert.equal((await asked(c, 'GET', `/v1/jobs/${String(job.id)}`, null)).status, 404);
+  assert.equal((await asked(c, 'POST', '/v1/jobs/run-999999/withdraw', null)).status, 404);
+  c.rules.jobs.set(job.id as string, {
+    spec: job,
+    toldAccepted: false,
+    submitted: true,
+    cancelAsked: false,
+    toldCancelledAt: null,
+    toldDoneAt: null,
+    finished: new Set(),
+  });
+  assert.equal(await status({}), 201);
+  assert.equal(await status({}), 200);
+  await c.run(40);
+  const after = await asked(c, 'POST', '/v1/jobs', job);
+  assert.deepEqual([after.status, after.body.condition], [200, 'done']);
+  const late = await asked(c, 'POST', `/v1/jobs/${String(job.id)}/withdraw`, null);
+  assert.equal(late.body.condition, 'done');
+  assert.deepEqual(c.rules.broken, []);
+});
+
+test('what cannot be served is answered at once, and never as unknown', async () => {
+  const c = quiet(6);
+  await c.run(3);
+  c.state.outage(5000);
+  const before = c.clock.time;
+  const r = await asked(c, 'POST', '/v1/jobs', c.jobBody());
+  assert.equal(r.status, 503);
+  assert.equal((await asked(c, 'GET', '/v1/jobs/run-000009', null)).status, 503);
+  assert.ok(c.clock.time - before < 1000);
+});
+
+test('integers above 32 bits stay integers on the wire', () => {
+  const v = 2 ** 45 + 1;
+  const back = decodeMap(encode({ v: wide(v) }))!;
+  assert.equal(typeof back.v, 'bigint');
+  assert.equal(narrow(back.v), v);
+  assert.equal(decodeMap(new Uint8Array([0xff])), null);
+  assert.equal(decodeMap(encode([1])), null);
+});
+
+test('a report that is not one changes nothing', () => {
+  assert.equal(readReport({ stone: 'i-1' }), null);
+  assert.equal(typeof readJob({}), 'string');
+});
--- /dev/null
+++ b/test/placement.test.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { Job } from '../src/jobs/book.js';
+import { CHUNK, packFinished, unpackFinished } from '../src/jobs/records.js';
+import { planRentals, type Pool } from '../src/fleet/plan.js';
+import { Timings, isSlow } from '../src/placement/stragglers.js';
+import { finishGoals, servingOrder, urgency } from '../src/placement/order.js';
+import type { JobSpec, MachineType } from '../src/wire/model.js';
+
+function spec(over: Partial<JobSpec> = {}): JobSpec {
+  return {
+    id: 'run-1',
+    cls: 'batch',
+    team: 't',
+    kind: 'array',
+    priority: 2,
+    tasks: 10,
+    cpus: 2,
+    gpus: 0,
+    memoryGb: 4,
+    image: 'i',
+    imageGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    estimateS: 30,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    ...over,
+  };
+}
+
+test('finished task numbers survive packing, in any order, chunk by chunk', () => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 3 * CHUNK }),
+      fc.array(fc.nat(3 * CHUNK - 1), { maxLength: 60 }),
+      (n, list) => {
+        const a = new Job(0, spec({ tasks: n }), 1, 0, true);
+        const b = new Job(1, spec({ tasks: n }), 1, 0, true);
+        for (const num of list) a.finish(num, 0);
+        for (let c = 0; c * CHUNK < n; c++) b.loadFinished(c, unpackFinished(packFinished(a.finished, c)));
+        assert.deepEqual(b.finished, a.finished);
+        assert.equal(b.finishedCount, new Set(list.filter((x) => x < n)).size);
+        assert.equal(b.pending(), n - b.finishedCount);
+      },
+    ),
+    { seed: 7, numRuns: 60 },
+  );
+});
+
+test('a finished task is not durable before its chunk is written', () => {
+  const j = new Job(0, spec(), 1, 0, true);
+  j.finish(3, 100);
+  assert.equal(j.isDurable(3), false);
+  j.dirty.clear();
+  assert.deepEqual([j.isDurable(3), j.isDurable(4)], [true, false]);
+});
+
+test('a machine is slow only if several jobs run longer there than elsewhere', () => {
+  const t = new Timings();
+  for (const job of [1, 2]) for (const m of [1, 2, 3, 4]) t.record(job, m, 1000 + m);
+  t.record(1, 9, 1600);
+  assert.equal(isSlow(t, 9, 1.5, 2), false, 'one job is not enough');
+  t.record(2, 9, 1700);
+  assert.equal(isSlow(t, 9, 1.5, 2), true);
+  assert.equal(isSlow(t, 1, 1.5, 2), false);
+  for (const job of [3, 4]) for (const m of [1, 2, 3, 9]) t.record(job, m, 1000);
+  assert.equal(isSlow(t, 9, 1.5, 2), false, 'as many jobs speak against it');
+});
+
+test('jobs that can still make their goal go before those that cannot, the smallest first', () => {
+  const goals = finishGoals([
+    { kind: 'finished', cls: 'batch', withinS: 250 },
+    { kind: 'finished', cls: 'batch', withinS: 90 },
+  ]);
+  const jobs = [
+    new Job(0, spec({ id: 'late', tasks: 1 }), 1, -300_000, true),
+    new Job(1, spec({ id: 'second', tasks: 1 }), 1, -100_000, true),
+    new Job(2, spec({ id: 'big', tasks: 50 }), 1, 0, true),
+    new Job(3, spec({ id: 'small', tasks: 2 }), 1, 0, true),
+    new Job(4, spec({ id: 'service', priority: 0 }), 1, 0, true),
+  ];
+  const order = servingOrder(jobs, new Set(), (j) => urgency(j, goals, 30_000, 0)).map((j) => j.spec.id);
+  assert.deepEqual(order, ['service', 'small', 'big', 'second', 'late']);
+});
+
+test('rentals: ordinary machines for what needs them, cheap ones for the rest, refused pools left alone', () => {
+  const type: MachineType = {
+    name: 'm',
+    cpus: 32,
+    gpus: 0,
+    memoryGb: 128,
+    fetchGbPerS: 1,
+    price: 2,
+    spotPrice: 0.6,
+    bootS: 20,
+    zones: ['a', 'b'],
+  };
+  const pool = (zone: string, spot: boolean, refusedUntil = 0): Pool => ({
+    type,
+    zone,
+    spot,
+    count: 0,
+    refusedUntil,
+  });
+  const pools = [pool('a', false), pool('b', false), pool('a', true), pool('b', true, 99)];
+  const demand = { ordinary: 100, any: 160, biggestCpus: 32, usable: () => true };
+  const plan = planRentals({ pools, demand, saveMoney: true, spareShare: 0, now: 10 });
+  const sum = (spot: boolean): number => [...plan].reduce((n, [p, c]) => n + (p.spot === spot ? c : 0), 0);
+  assert.equal(sum(false), 4);
+  assert.equal(sum(true), 5);
+  assert.equal(plan.get(pools[3]!), undefined);
+});
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { readOperatorSettings } from '../src/settings/operator.js';
+import { SettingsError, readPlatformSettings } from '../src/settings/platform.js';
+
+const GOOD = `
+node_name = "n0"
+location = "a"
+listen = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+unknown = true
+[outside]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[params]
+nodes = 3
+[[params.teams]]
+name = "t"
+cpus = 4.0
+cpus_max = 0.0
+gpus = 0.0
+gpus_max = 2.0
+[params.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 30.0
+[params.state]
+rps = 100.0
+write_rps = 20.0
+value_kb = 4.0
+txn_ops = 12
+[params.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[params.machine_limits]
+sockets = 1000
+`;
+
+test('the platform file: unknown fields ignored, 0 is no limit, faults named', () => {
+  const s = readPlatformSettings(GOOD);
+  assert.deepEqual([s.teams[0]!.cpusMax, s.teams[0]!.gpusMax], [Infinity, 2]);
+  const fault = (from: string, to: string, name: RegExp): void =>
+    assert.throws(
+      () => readPlatformSettings(GOOD.replace(from, to)),
+      (e) => e instanceof SettingsError && name.test(e.message),
+    );
+  fault('listen = "127.0.0.1:8080"', '', /^listen/);
+  fault('lease_s = 10.0', 'lease_s = "x"', /^params\.workers\.lease_s/);
+  fault('cloud = "127.0.0.1:1"', 'cloud = "nowhere"', /^outside\.cloud/);
+  fault('node_name = "n0"', 'node_name = ', /^not TOML/);
+});
+
+test("the operators' file: defaults, unknown fields refused, deployments by location", () => {
+  const plain = readOperatorSettings({ round_s: 5 });
+  assert.ok(typeof plain !== 'string' && plain.round_s === 5 && plain.slowness_ratio === 1.5);
+  assert.match(String(readOperatorSettings({ rounds: 5 })), /^rounds: unknown field/);
+  assert.match(String(readOperatorSettings({ round_s: 0 })), /^round_s/);
+  const file = { deployments: [{ locations: ['a'], settings: { money: 'counts' } }] };
+  const money = (location: string): unknown => {
+    const s = readOperatorSettings(file, location);
+    return typeof s === 'string' ? s : s.money;
+  };
+  assert.deepEqual([money('a'), money('b')], ['counts', 'objectives']);
+  const bad = { deployments: [{ locations: ['a'], settings: { round: 1 } }] };
+  assert.match(String(readOperatorSettings(bad, 'b')), /^deployments\/0\/settings\/round: unknown field/);
+});
