--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -19,7 +19,6 @@
 }
 
 const EPS = 1e-6;
-const KEPT_SHARE = 0.25;
 
 export function allowedOn(s: JobSpec, m: Machine): boolean {
   return (
@@ -83,11 +82,6 @@
   return fetches > 0 ? full * 2 : full;
 }
 
-/** Work that could run on cheap machines leaves some of each ordinary one free for work that could not. */
-function keepForOthers(s: JobSpec, m: Machine): number {
-  return s.spot && !m.spot && m.freeCpus() - s.cpus < m.type.cpus * KEPT_SHARE ? 600 : 0;
-}
-
 /**
  * The machine for one task of the job, or null. Warm images first, since a fetch takes longer than anything
  * else here; then no preemption; replicas apart; then most free room (or least, to save money).
@@ -117,7 +111,9 @@
       (m.slow ? 400 : 0) +
       (here.get(m.idx) ?? 0) * 50 +
       (zones.get(m.zone) ?? 0) * 5 +
-      (ctx.saveMoney ? keepForOthers(s, m) + freeShare * 10 : (s.spot && m.spot ? 2 : 0) - freeShare * 10);
+      (ctx.saveMoney
+        ? (s.spot && !m.spot ? 600 : 0) + freeShare * 10
+        : (s.spot && m.spot ? 2 : 0) - freeShare * 10);
     if (score < bestScore) {
       bestScore = score;
       best = { machine: m, victims };
