--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -18,8 +18,11 @@
   void c.user(c.jobBody({ ...array, sacks: 10, grind_s: 90, loaned_stones: false }), null);
   await c.run(12);
   assert.equal(c.rules.starts, 10);
-  const until = c.clock.time + 5000;
-  c.net.cuts.push({ a: (h) => h.startsWith('w-'), b: () => true, until, mode: 'hold' });
+  const busy = new Set([...c.rules.on.values()].map((places) => `w-${places[0]!.machine}:9000`));
+  for (const zone of ['a', 'b', 'a', 'b']) c.cloud.add('t16', zone, false, true);
+  await c.run(2);
+  c.net.cuts.push({ a: (h) => busy.has(h), b: () => true, until: c.clock.time + 6000, mode: 'hold' });
+  c.cloud.downUntil = c.clock.time + 6000;
   c.crash(c.leader()!, 20_000);
   return c;
 }
@@ -27,7 +30,7 @@
 // Tasks that a new leader has not seen yet count against their team's limit: see Placement.unseen.
 test('a new job does not break the quota while old tasks are out of sight', async () => {
   const c = await unreachable(3);
-  await c.run(4.2);
+  await c.run(3);
   for (const miller of ['t0', 't1'])
     void c.user(
       c.jobBody({ miller, grind: 'daemon', grist: 'desk', sacks: 3, scatter: true, loaned_stones: false }),
