--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -183,9 +183,19 @@
     return Math.min(open, team?.cpusMax ?? 0);
   }
 
-  private begin(job: Job, num: number, m: Machine, victims: Entry[], now: number): Entry {
+  private nextAttempt(): number {
+    return this.deps.attemptBase + this.attempts++;
+  }
+
+  private begin(
+    job: Job,
+    num: number,
+    m: Machine,
+    victims: Entry[],
+    now: number,
+    attempt = this.nextAttempt(),
+  ): Entry {
     for (const v of victims) this.stop(v, 0, 'preempted');
-    const attempt = this.deps.attemptBase + this.attempts++;
     return this.deps.table.hold(m, job.spec.id, job, num, attempt, now);
   }
 
@@ -249,6 +259,8 @@
   private startGang(job: Job, ctx: ChoiceContext, now: number): void {
     if (job.held.size > 0) return;
     const chosen: Entry[] = [];
+    // One attempt for all: workers tell by it which tasks belong to the same start of the gang.
+    const attempt = this.nextAttempt();
     for (let num = 0; num < job.spec.tasks; num++) {
       const choice = this.quota.allows(job.spec) ? chooseMachine(job, this.deps.table.all(), ctx) : null;
       if (!choice || choice.victims.length > 0) {
@@ -256,7 +268,7 @@
         job.notBefore = now + 500;
         return;
       }
-      chosen.push(this.begin(job, num, choice.machine, [], now));
+      chosen.push(this.begin(job, num, choice.machine, [], now, attempt));
     }
   }
 
