Worker connections close soon; overdue machines are asked; lost zones judged as a whole

Cause: after a takeover the leader held 1500 sockets and users were refused; a machine lost without notice cost 11 s where reports come every 4 s; a zone cut from everything was deleted machine by machine.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -20,6 +20,9 @@
   demand(): Demand;
   /** Zones that seem cut off from us: silence there proves nothing. */
   cutZones(): Set<string>;
+  /** Zones that have controllers. */
+  homeZones: Set<string>;
+  leaseS: number;
   /** Answered 200: the machine and everything on it are gone. */
   gone(m: Machine): void;
 }
@@ -28,6 +31,12 @@
 const PLAN_MS = 1000;
 const BOOT_FACTOR = 2.3;
 const TAKEOVER_MS = 2000;
+/** A report this late is asked for; unasked and unanswered for the longer time, the machine counts as silent. */
+const OVERDUE_REPORTS = 1.35;
+const MUTE_REPORTS = 1.7;
+/** A zone with fewer machines than this is not judged as a whole. */
+const LOST_LEAST = 4;
+const LOST_LEASE = 0.8;
 
 /** Rents before need, returns what stands idle, deletes what is silent. Only the leader has one. */
 export class Fleet {
@@ -44,7 +53,14 @@
     for (const type of deps.types)
       for (const zone of type.zones)
         for (const spot of [false, true])
-          this.pools.set(this.key(type.name, zone, spot), { type, zone, spot, count: 0, refusedUntil: 0 });
+          this.pools.set(this.key(type.name, zone, spot), {
+            type,
+            zone,
+            spot,
+            home: deps.homeZones.has(zone),
+            count: 0,
+            refusedUntil: 0,
+          });
   }
 
   private key(type: string, zone: string, spot: boolean): string {
@@ -100,10 +116,22 @@
     return perRound - this.deletions.length;
   }
 
+  private patienceMs(): number {
+    return this.deps.operator.silent_reports * this.deps.reportS * 1000 + 500;
+  }
+
+  /** Its report is overdue: it is asked, since that tells sooner than the next reports that do not come. */
+  isOverdue(m: Machine, now: number): boolean {
+    return (m.reported || m.stored) && now - m.heardAt > OVERDUE_REPORTS * this.deps.reportS * 1000 + 500;
+  }
+
   /** It says nothing, or it hears nothing: neither can be given work, and only its deletion proves anything. */
   isSilent(m: Machine, now: number): boolean {
-    const patience = this.deps.operator.silent_reports * this.deps.reportS * 1000 + 500;
-    return (m.reported || m.stored) && (now - m.heardAt > patience || m.deaf(patience, now));
+    if (!m.reported && !m.stored) return false;
+    const quiet = now - m.heardAt;
+    const unanswered =
+      m.commandFailures >= 2 && this.isOverdue(m, now) && quiet > MUTE_REPORTS * this.deps.reportS * 1000;
+    return unanswered || quiet > this.patienceMs() || m.deaf(this.patienceMs(), now);
   }
 
   /**
@@ -122,14 +150,21 @@
       (m) => (this.isSilent(m, now) || this.holdsUpTakeover(m, up, now)) && !m.deleting,
     );
     const dead: Machine[] = [];
-    // Many silent ordinary machines at once are a sign that it is we who are cut off.
-    const ordinary = up.filter((m) => !m.spot);
-    const silentOrdinary = silent.filter((m) => !m.spot);
-    const cutOff = silentOrdinary.length > Math.max(2, ordinary.length * 0.3);
+    const lost = this.lostZones(up, now);
+    // Many silent ordinary machines at once, in several zones, are a sign that it is we who are cut off.
+    const elsewhere = up.filter((m) => !m.spot && !lost.has(m.zone));
+    const cutOff =
+      elsewhere.filter((m) => this.isSilent(m, now)).length > Math.max(2, elsewhere.length * 0.3);
     const cutZones = this.deps.cutZones();
     let room = this.bound(now);
     for (const m of silent) {
       const noticed = m.noticeUntil !== null && now > m.noticeUntil;
+      if (lost.has(m.zone) && !noticed) {
+        // It may come back, and its work runs on until its leases end: just before that, deletion is quicker
+        // than waiting for the proof that they did.
+        if (!cutZones.has(m.zone) && now - m.heardAt > this.deps.leaseS * 1000 * LOST_LEASE) dead.push(m);
+        continue;
+      }
       if (!noticed && (cutOff || cutZones.has(m.zone) || room-- <= 0)) continue;
       if (!noticed) this.deletions.push(now);
       dead.push(m);
@@ -147,6 +182,21 @@
     if (dead.length > 0) void this.remove(dead, 'silent or never up');
   }
 
+  /** Zones where nearly every machine is silent while the other zones are heard: the zone is cut off, not we. */
+  private lostZones(up: Machine[], now: number): Set<string> {
+    const zones = new Map<string, { all: number; silent: number }>();
+    for (const m of up) {
+      const z = zones.get(m.zone) ?? { all: 0, silent: 0 };
+      z.all++;
+      if (this.isSilent(m, now)) z.silent++;
+      zones.set(m.zone, z);
+    }
+    const mostly = [...zones].filter(([, z]) => z.all >= LOST_LEAST && z.silent > 0.7 * z.all);
+    const others = [...zones].filter(([name]) => !mostly.some(([n]) => n === name));
+    const [heard, all] = others.reduce(([h, a], [, z]) => [h + z.all - z.silent, a + z.all], [0, 0]);
+    return new Set(heard > 0.7 * all && heard >= LOST_LEAST ? mostly.map(([name]) => name) : []);
+  }
+
   async remove(machines: Machine[], why: string): Promise<void> {
     const batch = machines.filter((m) => !m.deleting).slice(0, 100);
     if (batch.length === 0 || !this.deps.cloud.room() || !this.deps.leads()) return;
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -6,6 +6,8 @@
   type: MachineType;
   zone: string;
   spot: boolean;
+  /** In a zone that has controllers, which keep its machines' leases while it is cut off. */
+  home: boolean;
   /** Up or on their way. */
   count: number;
   /** The cloud had none left; not asked again before then. */
@@ -54,20 +56,36 @@
 /** The most that one request may ask for. */
 const MOST_AT_ONCE = 50;
 
-function fill(pools: Pool[], cpus: number, now: number, saveMoney: boolean): Map<Pool, number> {
+/**
+ * Where money counts, the cheapest pools first. Then zones with controllers, but none beyond half of all, since
+ * replicas are spread; then the pools with the fewest machines.
+ */
+function fill(
+  pools: Pool[],
+  cpus: number,
+  target: number,
+  now: number,
+  saveMoney: boolean,
+): Map<Pool, number> {
   const out = new Map<Pool, number>();
   const open = pools.filter((p) => p.refusedUntil <= now);
+  const zones = new Map<string, number>();
+  for (const p of pools) zones.set(p.zone, (zones.get(p.zone) ?? 0) + p.count * p.type.cpus);
+  const price = (p: Pool): number =>
+    saveMoney ? (p.spot ? p.type.spotPrice : p.type.price) / p.type.cpus : 0;
+  const away = (p: Pool): number => Number(p.spot || !p.home || zones.get(p.zone)! >= target / 2);
   for (let missing = cpus; missing > 0 && open.length > 0;) {
-    const price = (p: Pool): number => (p.spot ? p.type.spotPrice : p.type.price) / p.type.cpus;
     open.sort(
       (a, b) =>
-        (saveMoney ? price(a) - price(b) : 0) ||
+        price(a) - price(b) ||
+        away(a) - away(b) ||
         a.count + (out.get(a) ?? 0) - (b.count + (out.get(b) ?? 0)) ||
         b.type.cpus - a.type.cpus,
     );
     const p = open[0]!;
     const n = (out.get(p) ?? 0) + 1;
     out.set(p, n);
+    zones.set(p.zone, zones.get(p.zone)! + p.type.cpus);
     if (n >= MOST_AT_ONCE) open.shift();
     missing -= p.type.cpus;
   }
@@ -82,10 +100,10 @@
   const haveSpot = capacity(pools, true);
   const ordinary = pools.filter((p) => !p.spot);
   const spot = pools.filter((p) => p.spot);
-  const out = fill(ordinary, t.ordinary - haveOrdinary, now, saveMoney);
+  const out = fill(ordinary, t.ordinary - haveOrdinary, t.ordinary, now, saveMoney);
   const planned = [...out].reduce((sum, [p, n]) => sum + n * p.type.cpus, 0);
   const missing = t.total - haveOrdinary - haveSpot - planned;
-  const spotPlan = fill(spot, missing, now, saveMoney);
+  const spotPlan = fill(spot, missing, t.total, now, saveMoney);
   let left = missing;
   for (const [p, n] of spotPlan) {
     out.set(p, n);
@@ -94,7 +112,7 @@
   // What spot machines can't give is rented as ordinary ones; where money counts only once much is missing.
   const patience = saveMoney ? 0.4 * demand.any : 0;
   if (left > patience && spot.every((p) => p.refusedUntil > now))
-    for (const [p, n] of fill(ordinary, left - patience, now, saveMoney))
+    for (const [p, n] of fill(ordinary, left - patience, t.total, now, saveMoney))
       out.set(p, Math.max(out.get(p) ?? 0, n));
   return out;
 }
--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -119,6 +119,8 @@
       leads,
       demand: () => this.demand(),
       cutZones: () => this.cutZones(),
+      homeZones: new Set([settings.zone, ...settings.peers.map((p) => p.zone)]),
+      leaseS: settings.leaseS,
       gone: (m) => {
         this.table.remove(m, world.clock.now());
         this.registry.removed(m);
@@ -315,7 +317,8 @@
       this.wake();
       this.sender.flushDue(true);
       for (const m of this.table.all())
-        if ((m.stored || m.reported) && !m.certain()) this.sender.flush(m, true);
+        if ((m.stored || m.reported) && (!m.certain() || this.fleet.isOverdue(m, now)))
+          this.sender.flush(m, true);
       const quiet = now - this.heardAt;
       if (this.table.size() > 0 && this.anyKnown() && quiet > Math.max(4000, settings.reportS * 2500))
         this.deps.handOver('no worker is heard');
--- a/src/main.ts
+++ b/src/main.ts
@@ -68,7 +68,7 @@
         return () => clearTimeout(t);
       },
     },
-    http: outgoing(),
+    http: outgoing([settings.state, settings.cloud]),
     log,
     random: () => Math.random(),
   };
--- a/src/outgoing.ts
+++ b/src/outgoing.ts
@@ -2,23 +2,31 @@
 import type { Http, Reply } from './runtime.js';
 import { type Body, decodeMap, encode } from './wire/cbor.js';
 
-/** Outgoing HTTP: persistent connections, one request at a time on each (no pipelining). */
-export function outgoing(): Http {
-  const agent = new Agent({
-    pipelining: 1,
+/**
+ * Outgoing HTTP: persistent connections, one request at a time on each (no pipelining). Those to the few
+ * addresses named as `lasting` stay open. Workers are many, and each holds a connection of its own to us: what
+ * we open to them goes soon after use, so that sockets are left for users.
+ */
+export function outgoing(lasting: string[]): Http {
+  const options = { pipelining: 1, connectTimeout: 4000, headersTimeout: 0, bodyTimeout: 0 };
+  const toServices = new Agent({
+    ...options,
     connections: 24,
-    connectTimeout: 4000,
     keepAliveTimeout: 60_000,
     keepAliveMaxTimeout: 600_000,
-    headersTimeout: 0,
-    bodyTimeout: 0,
+  });
+  const toWorkers = new Agent({
+    ...options,
+    connections: 1,
+    keepAliveTimeout: 2500,
+    keepAliveMaxTimeout: 2500,
   });
   return {
     async send(to, method, path, body, timeoutMs): Promise<Reply> {
       const stop = new AbortController();
       const timer = setTimeout(() => stop.abort(), timeoutMs);
       try {
-        const r = await agent.request({
+        const r = await (lasting.includes(to) ? toServices : toWorkers).request({
           origin: `http://${to}`,
           path,
           method: method as Dispatcher.HttpMethod,
--- a/src/workers/orders.ts
+++ b/src/workers/orders.ts
@@ -14,6 +14,8 @@
 }
 
 const REPEAT_MS = 2000;
+/** An empty request costs nothing if it is answered late, so that it need not be waited for as long. */
+const PROBE_MS = 900;
 
 function refOf(e: Entry): { job: string; num: number; attempt: number } {
   return { job: e.jobId, num: e.num, attempt: e.attempt };
@@ -124,7 +126,7 @@
         'POST',
         paths.commands,
         commandBody(table.token(m), session, [...forgets, ...orders]),
-        this.deps.timeoutMs,
+        orders.length === 0 ? Math.min(PROBE_MS, this.deps.timeoutMs) : this.deps.timeoutMs,
       )
       .then(({ status, body }) => {
         this.inflight--;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -105,6 +105,7 @@
     type,
     zone,
     spot,
+    home: zone === 'a',
     count: 0,
     refusedUntil,
   });
