--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -174,6 +174,10 @@
     this.clock.after(downMs, () => this.startNode(name));
   }
 
+  healthy(name: string): boolean {
+    return this.lives.get(name)!.node.healthy();
+  }
+
   leader(): string | undefined {
     return this.names.find((n) => this.lives.get(n)!.alive && this.lives.get(n)!.node.leadership.leads());
   }
--- a/test/sim/state-service.ts
+++ b/test/sim/state-service.ts
@@ -191,6 +191,11 @@
     });
   }
 
+  /** A record that was put there by something else than the service. */
+  plant(k: string, value: unknown): void {
+    void this.txn({ then: [{ put: k, data: value }] });
+  }
+
   /** A record as a test may look at it. */
   value(k: string): unknown {
     const v = this.items.get(k)?.value;
