--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -23,6 +23,8 @@
   /** Zones that have controllers. */
   homeZones: Set<string>;
   leaseS: number;
+  /** We are behind ourselves: what seems silent may just wait unread. */
+  behind(): boolean;
   /** Answered 200: the machine and everything on it are gone. */
   gone(m: Machine): void;
 }
@@ -36,6 +38,7 @@
 const MUTE_REPORTS = 1.7;
 /** A zone with fewer machines than this is not judged as a whole. */
 const LOST_LEAST = 4;
+const SHUN_MS = 45_000;
 const LOST_LEASE = 0.8;
 
 /** Rents before need, returns what stands idle, deletes what is silent. Only the leader has one. */
@@ -48,6 +51,8 @@
   private readonly renting = new Set<Pool>();
   private deletions: number[] = [];
   private readonly goneIds = new Set<string>();
+  /** Zones that were lost a while ago: machines rented there would not reach us either. */
+  private readonly shunned = new Map<string, number>();
 
   constructor(private readonly deps: FleetDeps) {
     for (const type of deps.types)
@@ -139,18 +144,23 @@
    * once, one that has not is likely dead: it is not given the time that a silent machine has otherwise.
    */
   private holdsUpTakeover(m: Machine, up: Machine[], now: number): boolean {
-    if (!m.suspect || m.reported || now - m.heardAt < TAKEOVER_MS) return false;
+    if (!m.suspect || m.certain() || m.commandFailures < 2 || now - m.heardAt < TAKEOVER_MS) return false;
     return up.filter((x) => x.certain()).length > 0.6 * up.length;
   }
 
   /** Machines that say nothing, or never came up: deletion is the quick proof that nothing runs there. */
   private dropDead(now: number): void {
+    const behind = this.deps.behind();
     const up = [...this.deps.table.all()].filter((m) => m.reported || m.stored);
     const silent = up.filter(
-      (m) => (this.isSilent(m, now) || this.holdsUpTakeover(m, up, now)) && !m.deleting,
+      (m) =>
+        !m.deleting &&
+        (this.isSilent(m, now) || this.holdsUpTakeover(m, up, now)) &&
+        (!behind || now - m.heardAt > 2 * this.patienceMs()),
     );
     const dead: Machine[] = [];
     const lost = this.lostZones(up, now);
+    for (const zone of lost) this.shunned.set(zone, now + SHUN_MS);
     // Many silent ordinary machines at once, in several zones, are a sign that it is we who are cut off.
     const elsewhere = up.filter((m) => !m.spot && !lost.has(m.zone));
     const cutOff =
@@ -236,6 +246,8 @@
         pool.count++;
     }
     const pools = [...this.pools.values()];
+    for (const p of pools)
+      if (now < (this.shunned.get(p.zone) ?? 0)) p.refusedUntil = Math.max(p.refusedUntil, now + PLAN_MS);
     const up = (spot: boolean): number =>
       pools.filter((p) => p.spot === spot).reduce((n, p) => n + p.count * p.type.cpus, 0);
     deps.world.log.debug(
--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -33,6 +33,8 @@
 }
 
 const TICK_MS = 200;
+/** For so long after we were behind, answers may still wait unread: silence then says nothing of machines. */
+const BEHIND_MS = 2500;
 const WATCH_MS = 10_000;
 
 /** rebuilding: reading the records. serving: acting. over: the claim has ended, nothing may be done any more. */
@@ -52,6 +54,9 @@
   private woken = false;
   /** How long the last pass took: the next one waits for longer than that. */
   private passMs = 0;
+  private tickedAt: number;
+  /** When we were last behind our own timers. */
+  private behindAt = -Infinity;
   private heardAt: number;
   private everyoneKnown = false;
   private readonly keepMs: number;
@@ -65,6 +70,7 @@
     const leads = (): boolean => this.state === 'serving' && deps.leads();
     this.baseToken = claim.revision * TOKEN_SPAN;
     this.heardAt = world.clock.now();
+    this.tickedAt = this.heardAt;
     this.keepMs = keepMs(settings.cancelS, settings.leaseS);
     this.grants = new Grants(this.keepMs, this.heardAt);
     this.table = new MachineTable(this.baseToken, settings.leaseS * 1000, (id) => this.book.get(id), {
@@ -121,6 +127,7 @@
       cutZones: () => this.cutZones(),
       homeZones: new Set([settings.zone, ...settings.peers.map((p) => p.zone)]),
       leaseS: settings.leaseS,
+      behind: () => world.clock.now() - this.behindAt < BEHIND_MS,
       gone: (m) => {
         this.table.remove(m, world.clock.now());
         this.registry.removed(m);
@@ -300,8 +307,10 @@
   private tick(): void {
     if (this.state === 'over') return;
     const { world, settings } = this.deps;
+    const now = world.clock.now();
+    if (now - this.tickedAt > 2 * TICK_MS + 100) this.behindAt = now;
+    this.tickedAt = now;
     if (this.state === 'serving' && this.deps.leads()) {
-      const now = world.clock.now();
       const keptUntil = this.grants.keptUntil();
       for (const m of this.table.all()) {
         if ((m.reported || m.suspect) && this.table.leaseOver(m, keptUntil, now)) {
