--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -106,11 +106,7 @@
       leads,
       leaderGuard: deps.guard,
       surelyEmpty: (job) => (job.fresh || this.everyoneKnown) && job.held.size === 0,
-      ended: (job) => {
-        this.book.remove(job);
-        this.placement.ended(job);
-        this.wake();
-      },
+      ended: (job) => this.close(job),
     });
     this.fleet = new Fleet({
       world,
@@ -257,8 +253,15 @@
   /** Only a leader removes live records, once all is done: here our own write, whose answer was lost. */
   private jobRemoved(job: Job): void {
     job.ended = 'yes';
+    this.close(job);
+  }
+
+  /** Told by our own write or by the watch, whichever comes first. */
+  private close(job: Job): void {
+    if (this.book.get(job.spec.id) !== job) return;
     this.book.remove(job);
     this.placement.ended(job);
+    this.wake();
   }
 
   private demand(): Demand {
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -78,7 +78,8 @@
 /**
  * The machines for the tasks of one job. All machines are scored once and not once a task: like tasks are
  * decided as a class. Warm images first, since a fetch takes longer than anything else here; then no
- * preemption; replicas apart; then most free room (or least, to save money).
+ * preemption; replicas apart; then most free room. Services take the fullest machines where money counts. Arrays
+ * never do: a job whose tasks fill few machines is hit by the loss of few, and one lost task makes it late.
  */
 export class Candidates {
   private readonly list: Machine[] = [];
@@ -128,7 +129,7 @@
       (m.slow ? 400 : 0) +
       (s.kind === 'service' ? (this.here.get(m) ?? 0) * 50 : 0) +
       (ctx.saveMoney
-        ? (s.spot && !m.spot ? 600 : 0) + freeShare * 10
+        ? (s.spot && !m.spot ? 600 : 0) + freeShare * (s.kind === 'service' ? 10 : -10)
         : (s.spot && m.spot ? 2 : 0) - freeShare * 10)
     );
   }
