A takeover waits neither for dead machines nor for a zone nobody keeps; arrays keep together

Tasks of former leaders were timed from when the new one first saw them, which made twenty machines look slow. Changes: what holds up a takeover is deleted once 85% of the others have answered; tasks found running are not timed; tasks of an array keep together on machines; spare room for services follows recent arrivals; a start from nothing rents at once.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -48,6 +48,7 @@
   private lastPlan = -Infinity;
   private lastList = -Infinity;
   private listing = false;
+  private readonly tookOverAt: number;
   private readonly renting = new Set<Pool>();
   private deletions: number[] = [];
   private readonly goneIds = new Set<string>();
@@ -55,6 +56,7 @@
   private readonly shunned = new Map<string, number>();
 
   constructor(private readonly deps: FleetDeps) {
+    this.tookOverAt = deps.world.clock.now();
     for (const type of deps.types)
       for (const zone of type.zones)
         for (const spot of [false, true])
@@ -140,39 +142,45 @@
   }
 
   /**
-   * After a takeover all old jobs wait for the last machine to speak. Where most have answered our probes at
-   * once, one that has not is likely dead: it is not given the time that a silent machine has otherwise.
+   * After a takeover all old jobs wait for the last machine to speak. Where nearly all have answered our probes,
+   * one that has not is likely dead or deaf: it is not given the time that a silent machine has otherwise, and
+   * whether we were behind does not matter, since the answers of the others have been read. A lost zone whose
+   * machines nobody can keep alive is not waited for either: all other zones' old jobs would stand still.
    */
-  private holdsUpTakeover(m: Machine, up: Machine[], now: number): boolean {
-    if (!m.suspect || m.certain() || m.commandFailures < 2 || now - m.heardAt < TAKEOVER_MS) return false;
-    return up.filter((x) => x.certain()).length > 0.6 * up.length;
+  private holdsUpTakeover(m: Machine, lost: Set<string>, nearlyAll: boolean, now: number): boolean {
+    if (!m.suspect || m.certain() || m.commandFailures < 2 || !nearlyAll) return false;
+    const waited = now - this.tookOverAt;
+    return lost.has(m.zone)
+      ? !this.deps.homeZones.has(m.zone) && waited > 2 * TAKEOVER_MS
+      : waited > TAKEOVER_MS;
   }
 
   /** Machines that say nothing, or never came up: deletion is the quick proof that nothing runs there. */
   private dropDead(now: number): void {
     const behind = this.deps.behind();
     const up = [...this.deps.table.all()].filter((m) => m.reported || m.stored);
-    const silent = up.filter(
-      (m) =>
-        !m.deleting &&
-        (this.isSilent(m, now) || this.holdsUpTakeover(m, up, now)) &&
-        (!behind || now - m.heardAt > 2 * this.patienceMs()),
-    );
-    const dead: Machine[] = [];
     const lost = this.lostZones(up, now);
     for (const zone of lost) this.shunned.set(zone, now + SHUN_MS);
     // Many silent ordinary machines at once, in several zones, are a sign that it is we who are cut off.
-    const elsewhere = up.filter((m) => !m.spot && !lost.has(m.zone));
-    const cutOff =
-      elsewhere.filter((m) => this.isSilent(m, now)).length > Math.max(2, elsewhere.length * 0.3);
+    const elsewhere = up.filter((m) => !lost.has(m.zone));
+    const ordinary = elsewhere.filter((m) => !m.spot);
+    const cutOff = ordinary.filter((m) => this.isSilent(m, now)).length > Math.max(2, ordinary.length * 0.3);
+    const nearlyAll = elsewhere.filter((m) => m.certain()).length > 0.85 * elsewhere.length;
     const cutZones = this.deps.cutZones();
+    const dead: Machine[] = [];
     let room = this.bound(now);
-    for (const m of silent) {
+    for (const m of up) {
+      if (m.deleting) continue;
       const noticed = m.noticeUntil !== null && now > m.noticeUntil;
+      const holdsUp = this.holdsUpTakeover(m, lost, nearlyAll, now);
+      const quiet = now - m.heardAt;
+      const silent = this.isSilent(m, now) && (!behind || quiet > 2 * this.patienceMs());
+      if (!silent && !holdsUp) continue;
       if (lost.has(m.zone) && !noticed) {
         // It may come back, and its work runs on until its leases end: just before that, deletion is quicker
         // than waiting for the proof that they did.
-        if (!cutZones.has(m.zone) && now - m.heardAt > this.deps.leaseS * 1000 * LOST_LEASE) dead.push(m);
+        const ending = !cutZones.has(m.zone) && quiet > this.deps.leaseS * 1000 * LOST_LEASE;
+        if (ending || holdsUp) dead.push(m);
         continue;
       }
       if (!noticed && (cutOff || cutZones.has(m.zone) || room-- <= 0)) continue;
@@ -221,9 +229,10 @@
     }
   }
 
-  private smooth(d: Demand): Demand {
+  /** A rise is followed slowly, since it may pass before machines are up; but not when there is next to nothing. */
+  private smooth(d: Demand, have: number): Demand {
     const s = this.smoothed ?? { ordinary: d.ordinary, any: d.any };
-    const up = 0.12;
+    const up = have < 0.6 * (d.ordinary + d.any) ? 1 : 0.12;
     const down = 0.04;
     const mix = (old: number, now: number): number => old + (now - old) * (now > old ? up : down);
     this.smoothed = { ordinary: Math.max(d.ordinary, mix(s.ordinary, d.ordinary)), any: mix(s.any, d.any) };
@@ -232,7 +241,6 @@
 
   private plan(now: number): void {
     const { deps } = this;
-    const demand = this.smooth(deps.demand());
     for (const p of this.pools.values()) p.count = 0;
     for (const m of deps.table.all()) {
       const pool = this.pools.get(this.key(m.type.name, m.zone, m.spot));
@@ -250,6 +258,7 @@
       if (now < (this.shunned.get(p.zone) ?? 0)) p.refusedUntil = Math.max(p.refusedUntil, now + PLAN_MS);
     const up = (spot: boolean): number =>
       pools.filter((p) => p.spot === spot).reduce((n, p) => n + p.count * p.type.cpus, 0);
+    const demand = this.smooth(deps.demand(), up(false) + up(true));
     deps.world.log.debug(
       { ordinary: demand.ordinary, any: demand.any, haveOrdinary: up(false), haveSpot: up(true) },
       'fleet',
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -19,6 +19,9 @@
   ordinary: number;
   /** CPUs of work that may use spot machines. */
   any: number;
+  /** CPUs a second that services have asked for lately, and how long a machine takes until it is up. */
+  arriving: number;
+  bootS: number;
   /** CPUs of the biggest machine type. */
   biggestCpus: number;
   /** Shapes that some waiting job needs, so that no type is rented which nobody can use. */
@@ -38,14 +41,19 @@
   total: number;
 }
 
+/** Of what services use, at most. */
+const MOST_SPARE = 0.2;
+
 export function targets(d: Demand, saveMoney: boolean, spareShare: number): Targets {
   if (!saveMoney) {
     // Nobody counts the money: room for twice the work, so that waves and bursts find machines that are up.
     const ordinary = d.ordinary > 0 || d.any > 0 ? 2 * (d.ordinary + d.any) + 100 : 0;
     return { ordinary, total: ordinary };
   }
-  // Half a machine more than is used, so that a service that comes now finds room while another machine boots.
-  const ordinary = d.ordinary > 0 ? d.ordinary * (1 + spareShare) + d.biggestCpus / 2 : 0;
+  // A service that comes now must find room while another machine boots: half a machine more than is used, and a
+  // share, or what comes in that time when services arrive in numbers.
+  const spare = Math.max(spareShare * d.ordinary, Math.min(MOST_SPARE * d.ordinary, d.arriving * d.bootS));
+  const ordinary = d.ordinary > 0 ? d.ordinary + spare + d.biggestCpus / 2 : 0;
   return { ordinary, total: ordinary + d.any * (1 + spareShare) };
 }
 
--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -282,7 +282,15 @@
           s.gpus <= t.gpus &&
           s.memoryGb <= t.memoryGb,
       );
-    return { ordinary, any, usable, biggestCpus: Math.max(...this.deps.types.map((t) => t.cpus)) };
+    const bootS = 1.3 * Math.max(...this.deps.types.map((t) => t.bootS));
+    return {
+      ordinary,
+      any,
+      usable,
+      arriving: this.placement.arriving(),
+      bootS,
+      biggestCpus: Math.max(...this.deps.types.map((t) => t.cpus)),
+    };
   }
 
   /**
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -127,13 +127,19 @@
       fetchDelay(s, m) * 100 +
       victims.length * 120 +
       (m.slow ? 400 : 0) +
-      (s.kind === 'service' ? (this.here.get(m) ?? 0) * 50 : 0) +
+      this.company(m) +
       (ctx.saveMoney
         ? (s.spot && !m.spot ? 600 : 0) + freeShare * (s.kind === 'service' ? 10 : -10)
         : (s.spot && m.spot ? 2 : 0) - freeShare * 10)
     );
   }
 
+  /** Replicas keep apart. Tasks of an array keep together: the loss of a machine then hits few jobs. */
+  private company(m: Machine): number {
+    const here = this.here.get(m) ?? 0;
+    return this.job.spec.kind === 'service' ? here * 50 : here > 0 ? -30 : 0;
+  }
+
   /** The best machine for the next task, or null. */
   best(): Choice | null {
     const s = this.job.spec;
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -34,6 +34,8 @@
 /** A pass is bounded, so that renewals, health checks and answers never wait long behind it. */
 const STARTS_PER_PASS = 400;
 const LOOKS_PER_PASS = 30_000;
+/** How fast arrivals of services fade. */
+const ARRIVALS_S = 40;
 /** Who is within a guarantee changes slowly. */
 const GUARANTEE_MS = 300;
 /** A job of which nothing has begun after so long gets a first share of its tasks before all others. */
@@ -51,6 +53,8 @@
   private drainNext = 0;
   private guaranteed = new Set<Job>();
   private guaranteedAt = -Infinity;
+  /** CPUs of services that came, the older ones fading. */
+  private arrivals = { cpus: 0, at: 0 };
   /** What placing cost since the last round, for the log. */
   private work = { passes: 0, looks: 0, starts: 0 };
   private readonly saveMoney: boolean;
@@ -217,9 +221,21 @@
     this.serviceCpus.set(team, Math.max(this.serviceCpus.get(team) ?? 0, cpus * Math.min(4, tasks)));
   }
 
+  /** CPUs a second that services asked for, of late. */
+  arriving(): number {
+    const quietS = (this.deps.world.clock.now() - this.arrivals.at) / 1000;
+    return (this.arrivals.cpus * Math.exp(-quietS / ARRIVALS_S)) / ARRIVALS_S;
+  }
+
+  private noteArrival(job: Job): void {
+    const cpus = this.arriving() * ARRIVALS_S + job.spec.cpus * job.spec.tasks;
+    this.arrivals = { cpus, at: this.deps.world.clock.now() };
+  }
+
   /** A job is known now, or has come back from a former leader. */
   accepted(job: Job): void {
     this.noteService(job);
+    if (job.fresh && job.spec.kind === 'service') this.noteArrival(job);
     this.guaranteedAt = -Infinity;
   }
 
@@ -411,7 +427,7 @@
   /** Usual run time left of a task, in milliseconds; null if nothing is known. */
   private remaining(e: Entry, now: number): number | null {
     const usual = this.timings.usual(e.job!.idx) ?? this.runTimes.usual(e.job!.spec.cls);
-    if (usual === null || e.state !== 'running') return null;
+    if (usual === null || e.state !== 'running' || e.runningSince === 0) return null;
     return Math.max(0, usual - (now - e.runningSince));
   }
 
--- a/src/placement/stragglers.ts
+++ b/src/placement/stragglers.ts
@@ -91,7 +91,8 @@
 /** A gang moves whole or not at all. */
 function wholeGangYoung(job: Job, usual: number, now: number): boolean {
   for (const list of job.held.values())
-    for (const e of list) if (e.state !== 'running' || now - e.runningSince >= usual / 2) return false;
+    for (const e of list)
+      if (e.state !== 'running' || e.runningSince === 0 || now - e.runningSince >= usual / 2) return false;
   return true;
 }
 
@@ -100,7 +101,14 @@
   let best: Entry | null = null;
   for (const e of m.entries.values()) {
     const job: Job | null = e.job;
-    if (!job || job.spec.kind === 'service' || e.state !== 'running' || e.stop || job.moved.has(e.num))
+    if (
+      !job ||
+      job.spec.kind === 'service' ||
+      e.state !== 'running' ||
+      e.runningSince === 0 ||
+      e.stop ||
+      job.moved.has(e.num)
+    )
       continue;
     const usual = t.usual(job.idx);
     if (usual === null || now - e.runningSince >= usual / 2) continue;
--- a/src/workers/table.ts
+++ b/src/workers/table.ts
@@ -30,6 +30,9 @@
   stop: { graceS: number; why: string } | null = null;
   stopSentAt = -Infinity;
   forgetSentAt = -Infinity;
+  /** Not started by this leader: the machine told of it. */
+  found = false;
+  /** 0: not running yet, or it ran before we knew of it, so that its time is not known. */
   runningSince = 0;
 
   constructor(
@@ -242,7 +245,8 @@
     e.state = next;
     e.open = false;
     if (next === 'running') {
-      e.runningSince = now;
+      // A former leader's tasks are seen in the middle: timed from here they would make all others look slow.
+      if (!e.found) e.runningSince = now;
       if (e.job) e.machine.images.add(e.job.spec.image);
     }
     if (next === 'exited') {
@@ -302,6 +306,7 @@
       if (!e) {
         e = this.hold(m, t.job, this.findJob(t.job) ?? null, t.num, t.attempt, now);
         e.sent = true;
+        e.found = t.state !== 'fetching';
       }
       e.open = false;
       if (t.state === 'exited' && e.cause === null) e.cause = t.cause;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -110,7 +110,7 @@
     refusedUntil,
   });
   const pools = [pool('a', false), pool('b', false), pool('a', true), pool('b', true, 99)];
-  const demand = { ordinary: 100, any: 160, biggestCpus: 32, usable: () => true };
+  const demand = { ordinary: 100, any: 160, arriving: 0, bootS: 25, biggestCpus: 32, usable: () => true };
   const plan = planRentals({ pools, demand, saveMoney: true, spareShare: 0, now: 10 });
   const sum = (spot: boolean): number => [...plan].reduce((n, [p, c]) => n + (p.spot === spot ? c : 0), 0);
   assert.equal(sum(false), 4);
