--- /dev/null
+++ b/test/fleet.test.ts
@@ -0,0 +1,167 @@
+/** The fleet's judgement of silence, against a cloud that only notes what it is asked for. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Cloud } from '../src/fleet/cloud.js';
+import { Fleet } from '../src/fleet/fleet.js';
+import type { World } from '../src/runtime.js';
+import { defaultOperatorSettings } from '../src/settings/operator.js';
+import type { MachineType, WorkerReport } from '../src/wire/model.js';
+import { type Machine, MachineTable } from '../src/workers/table.js';
+
+const TYPE: MachineType = {
+  name: 't',
+  cpus: 8,
+  gpus: 0,
+  memoryGb: 32,
+  fetchGbPerS: 1,
+  price: 2,
+  spotPrice: 1,
+  bootS: 20,
+  zones: ['a', 'b', 'c'],
+};
+const LEASE_S = 20;
+const REPORT_S = 2;
+
+class Bed {
+  now = 0;
+  deleted = new Set<string>();
+  rentedIn = new Set<string>();
+  behind = false;
+  readonly table: MachineTable;
+  readonly fleet: Fleet;
+
+  constructor(perZone: number) {
+    const world: World = {
+      clock: { now: () => this.now, after: () => () => undefined },
+      http: {
+        send: (_to, _method, path, body) => {
+          if (path === '/machines/delete') for (const id of body!.stones as string[]) this.deleted.add(id);
+          if (path === '/machines') this.rentedIn.add(body!.yard as string);
+          const status = path === '/machines' ? 503 : 200;
+          return Promise.resolve({ status, body: path.startsWith('/machines?') ? { stones: [] } : {} });
+        },
+      },
+      log: { info: () => undefined, debug: () => undefined, error: () => undefined },
+      random: () => 0.5,
+    };
+    const none = (): undefined => undefined;
+    this.table = new MachineTable(100, LEASE_S * 1000, none, { held: none, left: none });
+    this.fleet = new Fleet({
+      world,
+      cloud: new Cloud(world, 'cloud:1', 50),
+      table: this.table,
+      operator: defaultOperatorSettings(),
+      types: [TYPE],
+      saveMoney: false,
+      reportS: REPORT_S,
+      listLagS: 2,
+      requestName: () => 'r',
+      leads: () => true,
+      demand: () => ({ ordinary: 400, any: 0, arriving: 0, bootS: 20, biggestCpus: 8, usable: () => true }),
+      cutZones: () => new Set(),
+      homeZones: new Set(['a', 'b']),
+      leaseS: LEASE_S,
+      behind: () => this.behind,
+      gone: (m) => this.table.remove(m, this.now),
+    });
+    for (const zone of ['a', 'b', 'c'])
+      for (let i = 0; i < perZone; i++) {
+        const m = this.table.add(`${zone}${i}`, `${zone}${i}:1`, TYPE, zone, false, 0);
+        m.stored = true;
+        m.suspect = true;
+      }
+  }
+
+  private report(m: Machine): void {
+    const r: WorkerReport = {
+      machine: m.id,
+      endpoint: m.endpoint,
+      type: 't',
+      zone: m.zone,
+      spot: false,
+      session: 1,
+      seq: m.seq + 1,
+      token: 100,
+      noticeS: null,
+      tasks: [],
+    };
+    m.heardAt = this.now;
+    this.table.apply(m, r, this.now);
+    m.suspect = false;
+    m.commandFailures = 0;
+  }
+
+  /** Time goes on; those that are heard report, the others answer no probe either. */
+  async pass(seconds: number, heard: (m: Machine) => boolean): Promise<void> {
+    for (let t = 0; t < seconds * 2; t++) {
+      this.now += 500;
+      for (const m of [...this.table.all()])
+        if (heard(m)) this.report(m);
+        else if (this.fleet.isOverdue(m, this.now)) m.commandFailures++;
+      this.fleet.tick();
+      await new Promise<void>((done) => setImmediate(done));
+    }
+  }
+}
+
+test('a zone that falls silent as a whole is deleted shortly before its leases end, and shunned', async () => {
+  const b = new Bed(10);
+  await b.pass(5, () => true);
+  await b.pass(LEASE_S * 0.7, (m) => m.zone !== 'c');
+  assert.equal(b.deleted.size, 0, 'it may come back, and its work runs on');
+  b.rentedIn.clear();
+  await b.pass(LEASE_S * 0.25, (m) => m.zone !== 'c');
+  assert.deepEqual(
+    [...b.deleted].sort(),
+    [...Array(10).keys()].map((i) => `c${i}`),
+  );
+  await b.pass(15, () => true);
+  assert.ok(b.rentedIn.has('a') && !b.rentedIn.has('c'), 'nothing is rented in it for a while');
+});
+
+test('when machines of all zones are silent at once, it is we who are cut off', async () => {
+  const b = new Bed(10);
+  await b.pass(5, () => true);
+  await b.pass(30, (m) => Number(m.id.slice(1)) < 5);
+  assert.equal(b.deleted.size, 0);
+});
+
+test('while we are behind, silence is not believed at once', async () => {
+  const b = new Bed(10);
+  await b.pass(5, () => true);
+  b.behind = true;
+  await b.pass(8, (m) => m.id !== 'a3');
+  assert.equal(b.deleted.size, 0);
+  b.behind = false;
+  await b.pass(1.5, (m) => m.id !== 'a3');
+  assert.deepEqual([...b.deleted], ['a3']);
+});
+
+test('a takeover waits seconds, not a lease, for the last machines and for a zone nobody keeps', async () => {
+  const b = new Bed(10);
+  for (const m of b.table.all()) m.commandFailures = 2;
+  b.behind = true;
+  await b.pass(6, (m) => m.zone !== 'c' && m.id !== 'a7');
+  assert.deepEqual([...b.deleted].sort(), ['a7', ...[...Array(10).keys()].map((i) => `c${i}`)]);
+});
+
+test('a task that was found running is not timed: its start is not known', () => {
+  const b = new Bed(1);
+  const m = b.table.get('a0')!;
+  const task = { job: 'run-1', num: 0, attempt: 1, cause: null };
+  const r = {
+    machine: 'a0',
+    endpoint: 'a0:1',
+    type: 't',
+    zone: 'a',
+    spot: false,
+    session: 1,
+    token: 100,
+    noticeS: null,
+  };
+  b.table.apply(m, { ...r, seq: 1, tasks: [{ ...task, state: 'running' }] }, 1000);
+  assert.equal([...m.entries.values()][0]!.runningSince, 0);
+  b.table.apply(m, { ...r, seq: 2, tasks: [{ ...task, num: 1, state: 'fetching' }] }, 2000);
+  b.table.apply(m, { ...r, seq: 3, tasks: [{ ...task, num: 1, state: 'running' }] }, 3000);
+  assert.equal([...m.entries.values()][0]!.runningSince, 3000);
+});
