Requests are given up in time also while their connection is being made

Ruled out: probes held back by the limit under way, the leader's processor time (all that live answer within 2 s).

--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -57,6 +57,7 @@
   private tickedAt: number;
   /** When we were last behind our own timers. */
   private behindAt = -Infinity;
+  private toldWaitingAt = -Infinity;
   private heardAt: number;
   private everyoneKnown = false;
   private readonly keepMs: number;
@@ -354,9 +355,14 @@
   /** Old jobs are acted on once every machine stored before our claim has spoken, is gone, or is past its lease. */
   private checkEveryone(): void {
     if (this.everyoneKnown) return;
+    let waiting = 0;
     for (const m of this.table.all()) {
       if (m.suspect && m.certain()) m.suspect = false;
-      if (m.suspect) return;
+      if (m.suspect) waiting++;
+    }
+    if (waiting > 0) {
+      this.tellWaiting(waiting);
+      return;
     }
     this.everyoneKnown = true;
     this.deps.world.log.info(
@@ -366,6 +372,16 @@
     this.wake();
   }
 
+  /** What a takeover still waits for, for the log. */
+  private tellWaiting(machines: number): void {
+    const now = this.deps.world.clock.now();
+    if (now - this.toldWaitingAt < 1000) return;
+    this.toldWaitingAt = now;
+    const some = [...this.table.all()].filter((m) => m.suspect).slice(0, 5);
+    const unanswered = some.map((m) => `${m.id}:${m.commandFailures}`);
+    this.deps.world.log.info({ machines, of: this.table.size(), some: unanswered }, 'waiting for machines');
+  }
+
   private applyReport(m: Machine, r: WorkerReport): void {
     const now = this.deps.world.clock.now();
     const fresh = r.session > m.session || (r.session === m.session && r.seq > m.seq);
--- a/src/outgoing.ts
+++ b/src/outgoing.ts
@@ -8,41 +8,54 @@
  * we open to them goes soon after use, so that sockets are left for users.
  */
 export function outgoing(lasting: string[]): Http {
-  const options = { pipelining: 1, connectTimeout: 4000, headersTimeout: 0, bodyTimeout: 0 };
+  const options = { pipelining: 1, headersTimeout: 0, bodyTimeout: 0 };
   const toServices = new Agent({
     ...options,
+    connectTimeout: 2500,
     connections: 24,
     keepAliveTimeout: 60_000,
     keepAliveMaxTimeout: 600_000,
   });
   const toWorkers = new Agent({
     ...options,
+    connectTimeout: 1200,
     connections: 1,
     keepAliveTimeout: 2500,
     keepAliveMaxTimeout: 2500,
   });
   return {
-    async send(to, method, path, body, timeoutMs): Promise<Reply> {
+    send(to, method, path, body, timeoutMs): Promise<Reply> {
       const stop = new AbortController();
-      const timer = setTimeout(() => stop.abort(), timeoutMs);
-      try {
-        const r = await (lasting.includes(to) ? toServices : toWorkers).request({
-          origin: `http://${to}`,
-          path,
-          method: method as Dispatcher.HttpMethod,
-          body: body === null ? null : encode(body),
-          headers: body === null ? {} : { 'content-type': 'application/cbor' },
-          signal: stop.signal,
+      const request = async (): Promise<Reply> => {
+        try {
+          const r = await (lasting.includes(to) ? toServices : toWorkers).request({
+            origin: `http://${to}`,
+            path,
+            method: method as Dispatcher.HttpMethod,
+            body: body === null ? null : encode(body),
+            headers: body === null ? {} : { 'content-type': 'application/cbor' },
+            signal: stop.signal,
+          });
+          const bytes = new Uint8Array(await r.body.arrayBuffer());
+          const decoded: Body | null = bytes.length === 0 ? {} : decodeMap(bytes);
+          // A 200 that can't be read tells nothing: the request may have been executed.
+          return { status: decoded === null && r.statusCode === 200 ? 0 : r.statusCode, body: decoded ?? {} };
+        } catch {
+          return { status: 0, body: {} };
+        }
+      };
+      return new Promise((done) => {
+        // An abort only ends requests that have a connection: while one is being made, which takes seconds to a
+        // host that says nothing, giving up must not wait for it.
+        const timer = setTimeout(() => {
+          stop.abort();
+          done({ status: 0, body: {} });
+        }, timeoutMs);
+        void request().then((r) => {
+          clearTimeout(timer);
+          done(r);
         });
-        const bytes = new Uint8Array(await r.body.arrayBuffer());
-        const decoded: Body | null = bytes.length === 0 ? {} : decodeMap(bytes);
-        // A 200 that can't be read tells nothing: the request may have been executed.
-        return { status: decoded === null && r.statusCode === 200 ? 0 : r.statusCode, body: decoded ?? {} };
-      } catch {
-        return { status: 0, body: {} };
-      } finally {
-        clearTimeout(timer);
-      }
+      });
     },
   };
 }
--- /dev/null
+++ b/test/outgoing.test.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict';
+import { type Socket, createServer } from 'node:net';
+import { test } from 'node:test';
+import { outgoing } from '../src/outgoing.js';
+
+// Giving up must not wait until the request can have a connection: a leader learnt of dead machines, whose
+// connections are never made, seconds late. Here the one connection is taken by a request without an answer.
+test(
+  'a request that waits for a connection is given up when its time is over',
+  { timeout: 5000 },
+  async () => {
+    const sockets: Socket[] = [];
+    const server = createServer((s) => sockets.push(s.unref())).unref();
+    await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+    const { port } = server.address() as { port: number };
+    const order: string[] = [];
+    const http = outgoing([]);
+    const get = (timeoutMs: number, name: string): Promise<void> =>
+      http
+        .send(`127.0.0.1:${port}`, 'GET', '/', null, timeoutMs)
+        .then((r) => void order.push(`${name} ${r.status}`));
+    await Promise.all([get(600, 'first'), get(60, 'second')]);
+    assert.deepEqual(order, ['second 0', 'first 0']);
+    for (const s of sockets) s.destroy();
+    server.close();
+  },
+);
