--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -119,6 +119,19 @@
   assert.ok(b.rentedIn.has('a') && !b.rentedIn.has('c'), 'nothing is rented in it for a while');
 });
 
+test('a machine that is heard, but never shows the token it is told, is deleted', async () => {
+  const b = new Bed(10);
+  await b.pass(5, () => true);
+  for (let i = 0; i < 40; i++) {
+    await b.pass(1, () => true);
+    for (const m of b.table.all()) {
+      const token = b.table.ask(m, b.now, LEASE_S * 500);
+      if (m.id !== 'b4') m.token = token;
+    }
+  }
+  assert.deepEqual([...b.deleted], ['b4']);
+});
+
 test('when machines of all zones are silent at once, it is we who are cut off', async () => {
   const b = new Bed(10);
   await b.pass(5, () => true);
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -136,6 +136,13 @@
     sacks: [...before.keys()].map((sack) => ({ sack, try: 7, condition: 'running' })),
   };
   c.crash(c.leader()!, 4000);
+  // The copy comes before anything is heard of the machines themselves.
+  c.net.cuts.push({
+    a: (h) => h.startsWith('w-'),
+    b: (h) => c.names.some((n) => h === `${n}:80`),
+    until: c.clock.time + 5000,
+    mode: 'hold',
+  });
   for (let s = 0; s < 60; s++) {
     for (const n of c.names)
       void c.net.send('copy', `${n}:80`, 'POST', '/agent/beat', { ...ghost, tally: 40 + s }, 4000);
@@ -285,12 +292,12 @@
     registry.tick();
   };
   // The first write is held on its way and given up; it arrives once the second has been applied.
-  c.net.cuts.push({ a: (h) => h === 'n9:80', b: () => true, until: c.clock.time + 2500, mode: 'hold' });
+  c.net.cuts.push({ a: (h) => h === 'n9:80', b: () => true, until: c.clock.time + 6000, mode: 'hold' });
   add('i-1');
   await c.run(2.4);
   c.net.cuts = [];
   add('i-2');
-  for (let s = 0; s < 20; s++) {
+  for (let s = 0; s < 35; s++) {
     registry.tick();
     await c.run(0.2);
   }
