--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -177,6 +177,20 @@
     expectKept(o);
   });
 
+for (const seed of [101, 102])
+  test(`a zone cut from everything, peers that refuse each other, two of five crash (${seed})`, async () => {
+    const o = await play({ seed, nodes: 5, ordinaryUp: 8 }, (c, s) => {
+      const until = c.clock.time + c.luck.between(8000, 25_000);
+      const mode = c.luck.pick(['hold', 'reset'] as const);
+      const isNode = (h: string): boolean => c.names.some((n) => h === `${n}:80`);
+      const inside = inZone(c, c.luck.pick(['a', 'b']));
+      if (s === 8) c.net.cuts.push({ a: isNode, b: isNode, until, mode: 'reset' });
+      if (s === 25) c.net.cuts.push({ a: inside, b: (h) => !inside(h), until, mode });
+      if (s === 50) for (const n of [c.leader() ?? 'n0', 'n4']) c.crash(n, c.luck.pick([200, 3000]));
+    });
+    expectKept(o);
+  });
+
 /** Crashes, outages, refusals, cuts, hangs and losses on top of each other. */
 function chaos(c: Cluster, s: number): void {
   const luck = c.luck;
