--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -66,6 +66,18 @@
   });
 }
 
+/** The world of a client beside the controllers. */
+function outsider(c: Cluster): World {
+  return {
+    clock: c.clock.host(1, () => true),
+    http: {
+      send: (to, method, path, body, timeoutMs) => c.net.send('n9:80', to, method, path, body, timeoutMs),
+    },
+    log: { info: () => undefined, debug: () => undefined, error: () => undefined },
+    random: () => 0.5,
+  };
+}
+
 test('a machine that is heard but hears nothing is deleted; its tasks run elsewhere', async () => {
   const c = await upWithDesk(11);
   const [task, places] = [...c.rules.on][0]!;
@@ -253,14 +265,7 @@
 
 test('a page of machines that is written late loses no machine stored since', async () => {
   const c = new Cluster({ seed: 19, ordinaryUp: 0 });
-  const world: World = {
-    clock: c.clock.host(1, () => true),
-    http: {
-      send: (to, method, path, body, timeoutMs) => c.net.send('n9:80', to, method, path, body, timeoutMs),
-    },
-    log: { info: () => undefined, debug: () => undefined, error: () => undefined },
-    random: () => 0.5,
-  };
+  const world = outsider(c);
   c.net.lossy = 0;
   c.net.repeats = 0;
   c.state.plant('boss', {});
@@ -312,14 +317,7 @@
 test('the mirror starts over when the changes since are not kept any more', async () => {
   const c = new Cluster({ seed: 20 });
   await c.run(3);
-  const world: World = {
-    clock: c.clock.host(1, () => true),
-    http: {
-      send: (to, method, path, body, timeoutMs) => c.net.send('n9:80', to, method, path, body, timeoutMs),
-    },
-    log: { info: () => undefined, debug: () => undefined, error: () => undefined },
-    random: () => 0.5,
-  };
+  const world = outsider(c);
   c.net.lossy = 0;
   const store = new StateStore(world, { address: 'state:1', nodes: 1, rps: 100, writeRps: 50 });
   const mirror = new LiveMirror(world, store, 50);
