--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -434,6 +434,7 @@
     const k = this.limitKept;
     if (!k || now >= k.until || k.job.held.size > 0 || k.job.cancelled || job.spec.kind !== 'array')
       return false;
+    if (now - job.startedAt > YIELDS_MS) return false;
     return job.spec.team === k.job.spec.team && job.spec.priority >= k.job.spec.priority;
   }
 
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -138,6 +138,20 @@
   assert.deepEqual(c.rules.broken, []);
 });
 
+test('an array of the same team begins beside a gang that long tasks keep from its share of the limit', async () => {
+  const c = await quiet({ seed: 13, ordinaryUp: 6, teamLimit: 24 });
+  // These run on for minutes, and the gang fits under the limit only without them.
+  submit(c, { ...BATCH, miller: 't0', sacks: 6, grind_s: 200 });
+  await c.run(8);
+  submit(c, { ...GANG, miller: 't0', sacks: 8 });
+  await c.run(15);
+  const array = submit(c, { ...BATCH, miller: 't0', sacks: 2, grind_s: 2 });
+  await c.run(85);
+  assert.equal(c.hall.begun, 0, 'the gang still waits');
+  assert.notEqual(array.firstStartAt, null);
+  assert.deepEqual(c.rules.broken, []);
+});
+
 test('gangs that want more room than there is never hold it half, and all are done in turn', async () => {
   const c = await quiet({ seed: 6, capacity: 1, ordinaryUp: 2, teamLimit: 1000 });
   const jobs = Array.from({ length: 8 }, () => submit(c, { ...GANG, sacks: 4, vcpus: 3, grind_s: 3 }));
