--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,7 +1,8 @@
 import type { OperatorSettings } from '../settings/operator.js';
 import type { World } from '../runtime.js';
 import type { MachineType } from '../wire/model.js';
-import type { Machine, MachineTable } from '../workers/table.js';
+import type { Machine } from '../workers/machine.js';
+import type { MachineTable } from '../workers/machine-table.js';
 import type { Cloud } from './cloud.js';
 import { type Demand, type Pool, planRentals, targets } from './plan.js';
 
@@ -402,7 +403,7 @@
       }
     }
     const keepsService = (m: Machine): boolean => {
-      for (const e of m.entries.values()) if (e.onMachine() && e.job?.spec.kind === 'service') return true;
+      for (const e of m.attempts.values()) if (e.onMachine() && e.job?.spec.kind === 'service') return true;
       return false;
     };
     const busy = (m: Machine): number => m.usedCpus / m.type.cpus;
--- a/src/jobs/cancellations.ts
+++ b/src/jobs/cancellations.ts
@@ -1,4 +1,4 @@
-import type { Order, WorkerReport } from '../wire/model.js';
+import type { WorkerCommand, WorkerReport } from '../wire/model.js';
 import { DRIFT } from '../runtime.js';
 
 /** Cancellations are remembered for longer than any task of theirs can still be somewhere. */
@@ -68,7 +68,7 @@
   }
 
   /** Stops for what is reported and known to be cancelled, beside the orders that go out anyway. */
-  withStops(r: WorkerReport, orders: Order[]): Order[] {
+  withStops(r: WorkerReport, orders: WorkerCommand[]): WorkerCommand[] {
     const out = [...orders];
     for (const t of r.tasks) {
       if (t.state === 'exited' || !this.known.has(t.job)) continue;
--- a/src/jobs/finisher.ts
+++ b/src/jobs/completion-writer.ts
@@ -2,13 +2,13 @@
 import { Bucket } from '../state-store/budget.js';
 import type { StateStore } from '../state-store/client.js';
 import type { Change, Guard } from '../wire/messages.js';
-import type { Job, JobBook } from './book.js';
+import type { Job, JobTable } from './job-table.js';
 import { endedKey, finishedKey, liveKey, packFinished } from './records.js';
 
-export interface FinisherDeps {
+export interface CompletionWriterDeps {
   world: World;
   store: StateStore;
-  book: JobBook;
+  jobs: JobTable;
   txnOps: number;
   writeRps: number;
   leads(): boolean;
@@ -29,7 +29,7 @@
 const LEAST_CHANGES = 2;
 
 /** Makes the leader's knowledge of finished tasks durable: compact, in batches, the ends of jobs first. */
-export class Finisher {
+export class CompletionWriter {
   private busy = false;
   private readonly written = new Map<number, Set<number>>();
   private readonly notBefore = new Map<number, number>();
@@ -38,7 +38,7 @@
   /** Changes in one transaction: fewer once one was refused for its size. */
   private most: number;
 
-  constructor(private readonly deps: FinisherDeps) {
+  constructor(private readonly deps: CompletionWriterDeps) {
     this.most = deps.txnOps;
     const perS = Math.max(0.5, deps.writeRps * PARTIAL_SHARE);
     this.partial = new Bucket(perS, Math.max(2, perS), () => deps.world.clock.now());
@@ -76,7 +76,7 @@
     const flushed: { job: Job; chunk: number; count: number }[] = [];
     const room = (n: number): boolean =>
       changes.length + n <= this.most && guards.length < this.deps.txnOps * 4 - 1;
-    for (const job of this.deps.book.all()) {
+    for (const job of this.deps.jobs.all()) {
       const over = job.cancelled ? this.deps.surelyEmpty(job) : job.complete();
       if (!over || job.ended !== 'no' || (this.notBefore.get(job.idx) ?? 0) > now) continue;
       const end = this.endChanges(job);
@@ -86,7 +86,7 @@
       ends.push(job);
       jobs.push(job);
     }
-    for (const job of this.deps.book.all()) {
+    for (const job of this.deps.jobs.all()) {
       if (job.cancelled || job.complete() || (this.notBefore.get(job.idx) ?? 0) > now) continue;
       for (const [chunk, since] of job.dirty) {
         if (now - since < PARTIAL_MS || !room(1) || !this.partial.take()) continue;
--- a/src/jobs/book.ts
+++ b/src/jobs/job-table.ts
@@ -1,5 +1,5 @@
 import type { JobSpec } from '../wire/model.js';
-import type { Entry } from '../workers/table.js';
+import type { TaskAttempt } from '../workers/task-attempt.js';
 import { CHUNK } from './records.js';
 
 /** One live job in the leader's tables. */
@@ -10,7 +10,7 @@
   /** Chunks of `finished` with numbers not yet durable, and when the oldest of them came. */
   readonly dirty = new Map<number, number>();
   /** Entries that may be on a machine, by task number; normally one each. */
-  readonly held = new Map<number, Entry[]>();
+  readonly attempts = new Map<number, TaskAttempt[]>();
   /** Tasks that run as far as is known: counted as they change, since there are many. */
   running = 0;
   private readonly returned: number[] = [];
@@ -26,6 +26,8 @@
   readonly failedOn = new Set<number>();
   /** Tasks moved once already: a task moves at most once. */
   readonly moved = new Set<number>();
+  /** Of a gang: its attempt was given up, and nothing starts before all its tasks are gone. */
+  abandoned = false;
   readonly key: string;
   ended: 'no' | 'writing' | 'yes' = 'no';
 
@@ -67,7 +69,7 @@
     if (this.isFinished(num)) return false;
     this.finished[num >> 3]! |= 1 << (num & 7);
     this.finishedCount++;
-    if (!this.held.has(num)) this.waiting--;
+    if (!this.attempts.has(num)) this.waiting--;
     return true;
   }
 
@@ -90,23 +92,24 @@
     return this.finishedCount === this.spec.tasks;
   }
 
-  hold(e: Entry): void {
-    const list = this.held.get(e.num);
+  addAttempt(e: TaskAttempt): void {
+    const list = this.attempts.get(e.num);
     if (list) {
       list.push(e);
       return;
     }
-    this.held.set(e.num, [e]);
+    this.attempts.set(e.num, [e]);
     if (!this.isFinished(e.num)) this.waiting--;
   }
 
-  release(e: Entry): void {
-    const list = this.held.get(e.num);
+  removeAttempt(e: TaskAttempt): void {
+    const list = this.attempts.get(e.num);
     const i = list?.indexOf(e) ?? -1;
     if (!list || i < 0) return;
     list.splice(i, 1);
     if (list.length > 0) return;
-    this.held.delete(e.num);
+    this.attempts.delete(e.num);
+    if (this.attempts.size === 0) this.abandoned = false;
     if (this.isFinished(e.num)) return;
     this.waiting++;
     if (e.num < this.cursor && !this.isReturned.has(e.num)) {
@@ -119,12 +122,12 @@
   next(): number {
     while (this.returned.length > 0) {
       const num = this.returned[this.returned.length - 1]!;
-      if (!this.isFinished(num) && !this.held.has(num)) return num;
+      if (!this.isFinished(num) && !this.attempts.has(num)) return num;
       this.returned.pop();
       this.isReturned.delete(num);
     }
     while (this.cursor < this.spec.tasks) {
-      if (!this.isFinished(this.cursor) && !this.held.has(this.cursor)) return this.cursor;
+      if (!this.isFinished(this.cursor) && !this.attempts.has(this.cursor)) return this.cursor;
       this.cursor++;
     }
     return -1;
@@ -132,7 +135,7 @@
 }
 
 /** The leader's live jobs. */
-export class JobBook {
+export class JobTable {
   private readonly byId = new Map<string, Job>();
   private nextIdx = 0;
 
--- a/src/leadership/duty.ts
+++ b/src/leadership/leader-term.ts
@@ -8,20 +8,21 @@
 import { Cloud } from '../fleet/cloud.js';
 import { Fleet } from '../fleet/fleet.js';
 import type { Demand } from '../fleet/plan.js';
-import { type Job, JobBook } from '../jobs/book.js';
+import { type Job, JobTable } from '../jobs/job-table.js';
 import type { Progress } from '../jobs/api.js';
-import { Finisher } from '../jobs/finisher.js';
+import { CompletionWriter } from '../jobs/completion-writer.js';
 import { FINISHED, LIVE, readLive, unpackFinished } from '../jobs/records.js';
 import { Placement } from '../placement/placement.js';
-import { MachineRegistry, readMachinePage } from '../workers/registry.js';
-import { OrderSender, answerOrders } from '../workers/orders.js';
-import { type Machine, MachineTable } from '../workers/table.js';
-import type { MachineType, Order, WorkerReport } from '../wire/model.js';
-import type { Guard, News } from '../wire/messages.js';
-import { Grants, keepMs } from './keeping.js';
+import { MachineRecordStore, readMachinePage } from '../workers/machine-records.js';
+import { CommandSender, commandsForReport } from '../workers/commands.js';
+import { type Machine } from '../workers/machine.js';
+import { MachineTable } from '../workers/machine-table.js';
+import type { MachineType, WorkerCommand, WorkerReport } from '../wire/model.js';
+import type { Guard, WatchEvent } from '../wire/messages.js';
+import { LeaseExtensionGrants, leaseExtensionMs } from './lease-extension.js';
 import { type Claim, TOKEN_SPAN } from './leadership.js';
 
-export interface DutyDeps {
+export interface LeaderTermDeps {
   world: World;
   settings: PlatformSettings;
   operator: OperatorSettings;
@@ -46,16 +47,16 @@
 const QUIET_MS = 3500;
 
 /** rebuilding: reading the records. serving: acting. over: the claim has ended, nothing may be done any more. */
-type DutyState = 'rebuilding' | 'serving' | 'over';
+type LeaderTermState = 'rebuilding' | 'serving' | 'over';
 
-export class LeaderDuty {
-  private state: DutyState = 'rebuilding';
+export class LeaderTerm {
+  private state: LeaderTermState = 'rebuilding';
   private readonly baseToken: number;
-  private readonly book = new JobBook();
+  private readonly jobs = new JobTable();
   private readonly table: MachineTable;
-  private readonly sender: OrderSender;
-  private readonly registry: MachineRegistry;
-  private readonly finisher: Finisher;
+  private readonly sender: CommandSender;
+  private readonly registry: MachineRecordStore;
+  private readonly completionWriter: CompletionWriter;
   private readonly fleet: Fleet;
   private readonly placement: Placement;
   private requests = 0;
@@ -68,11 +69,11 @@
   private toldWaitingAt = -Infinity;
   private heardAt: number;
   private everyoneKnown = false;
-  private readonly keepMs: number;
-  private readonly grants: Grants;
+  private readonly leaseExtensionMs: number;
+  private readonly grants: LeaseExtensionGrants;
 
   constructor(
-    private readonly deps: DutyDeps,
+    private readonly deps: LeaderTermDeps,
     private readonly claim: Claim,
   ) {
     const { world, settings, operator, store } = deps;
@@ -80,16 +81,16 @@
     this.baseToken = claim.revision * TOKEN_SPAN;
     this.heardAt = world.clock.now();
     this.tickedAt = this.heardAt;
-    this.keepMs = keepMs(settings.cancelS, settings.leaseS);
-    this.grants = new Grants(this.keepMs, this.heardAt);
-    this.table = new MachineTable(this.baseToken, settings.leaseS * 1000, (id) => this.book.get(id), {
-      held: (e) => this.placement.held(e),
-      left: (e) => {
-        this.placement.left(e);
+    this.leaseExtensionMs = leaseExtensionMs(settings.cancelS, settings.leaseS);
+    this.grants = new LeaseExtensionGrants(this.leaseExtensionMs, this.heardAt);
+    this.table = new MachineTable(this.baseToken, settings.leaseS * 1000, (id) => this.jobs.get(id), {
+      attemptAdded: (e) => this.placement.attemptAdded(e),
+      attemptGone: (e) => {
+        this.placement.attemptGone(e);
         this.wake();
       },
     });
-    this.sender = new OrderSender({
+    this.sender = new CommandSender({
       world,
       table: this.table,
       leads,
@@ -98,7 +99,7 @@
       report: (m, r) => this.applyReport(m, r),
       mayStart: () => deps.informed(),
     });
-    this.registry = new MachineRegistry({
+    this.registry = new MachineRecordStore({
       world,
       store,
       table: this.table,
@@ -108,15 +109,15 @@
       leaderGuard: deps.guard,
       stored: () => this.wake(),
     });
-    this.finisher = new Finisher({
+    this.completionWriter = new CompletionWriter({
       world,
       store,
-      book: this.book,
+      jobs: this.jobs,
       txnOps: settings.txnOps,
       writeRps: settings.stateWriteRps,
       leads,
       leaderGuard: deps.guard,
-      surelyEmpty: (job) => (job.fresh || this.everyoneKnown) && job.held.size === 0,
+      surelyEmpty: (job) => (job.fresh || this.everyoneKnown) && job.attempts.size === 0,
       ended: (job) => this.close(job),
     });
     this.fleet = new Fleet({
@@ -146,7 +147,7 @@
       world,
       settings,
       operator,
-      book: this.book,
+      jobs: this.jobs,
       table: this.table,
       attemptBase: this.baseToken,
       oldJobsOpen: () => this.everyoneKnown,
@@ -155,8 +156,8 @@
     });
   }
 
-  private become(next: DutyState): void {
-    this.deps.world.log.info({ from: this.state, to: next }, 'duty');
+  private become(next: LeaderTermState): void {
+    this.deps.world.log.info({ from: this.state, to: next }, 'leader term');
     this.state = next;
   }
 
@@ -200,10 +201,10 @@
       const live = new Set(jobs.pairs.map((p) => p.key));
       for (const p of finished.pairs) {
         const [id, chunk] = p.key.slice(FINISHED.length).split('/');
-        const job = this.book.get(id!);
-        if (!job && !live.has(LIVE + id!)) this.finisher.leftOver(p.key);
+        const job = this.jobs.get(id!);
+        if (!job && !live.has(LIVE + id!)) this.completionWriter.leftOver(p.key);
         if (!job) continue;
-        this.finisher.noteWritten(job, Number(chunk));
+        this.completionWriter.noteWritten(job, Number(chunk));
         job.loadFinished(Number(chunk), unpackFinished(p.value));
       }
       since = jobs.revision;
@@ -219,10 +220,10 @@
   private takeJob(id: string, value: unknown, version: number): void {
     const r = readLive(value);
     if (!r || r.spec.id !== id) return;
-    const known = this.book.get(id);
+    const known = this.jobs.get(id);
     if (known && known.version >= version) return;
     const fresh = version > this.claim.revision && !r.cancelled;
-    const job = known ?? this.book.add(r.spec, version, r.at, fresh, this.deps.world.clock.now());
+    const job = known ?? this.jobs.add(r.spec, version, r.at, fresh, this.deps.world.clock.now());
     job.version = version;
     if (!known) this.placement.accepted(job);
     if (r.cancelled || this.deps.isCancelled(id)) this.markCancelled(job);
@@ -235,7 +236,7 @@
       if (this.state !== 'serving') return;
       if (w.kind === 'news') {
         since = Math.max(since, w.revision);
-        for (const n of w.news) this.takeNews(n);
+        for (const n of w.news) this.applyWatchEvent(n);
         if (w.news.length > 0) this.wake();
       } else if (w.kind === 'refused') {
         await sleep(world.clock, 200);
@@ -243,7 +244,7 @@
         const all = await store.scan(LIVE);
         if (!all) continue;
         const live = new Set(all.pairs.map((p) => p.key));
-        for (const job of [...this.book.all()])
+        for (const job of [...this.jobs.all()])
           if (!live.has(LIVE + job.spec.id) && job.version <= all.revision) this.jobRemoved(job);
         for (const p of all.pairs) this.takeJob(p.key.slice(LIVE.length), p.value, p.version);
         since = all.revision;
@@ -252,13 +253,13 @@
     }
   }
 
-  private takeNews(n: News): void {
+  private applyWatchEvent(n: WatchEvent): void {
     const id = n.key.slice(LIVE.length);
     if (!n.gone) {
       this.takeJob(id, n.value, n.version);
       return;
     }
-    const job = this.book.get(id);
+    const job = this.jobs.get(id);
     if (job && job.version < n.version) this.jobRemoved(job);
   }
 
@@ -270,8 +271,8 @@
 
   /** Told by our own write or by the watch, whichever comes first. */
   private close(job: Job): void {
-    if (this.book.get(job.spec.id) !== job) return;
-    this.book.remove(job);
+    if (this.jobs.get(job.spec.id) !== job) return;
+    this.jobs.remove(job);
     this.placement.ended(job);
     this.wake();
   }
@@ -279,7 +280,7 @@
   private demand(): Demand {
     let [ordinary, any] = [0, 0];
     const waiting: Job[] = [];
-    for (const job of this.book.all()) {
+    for (const job of this.jobs.all()) {
       if (job.cancelled) continue;
       const cpus = this.placement.wantedCpus(job);
       if (job.spec.spot) any += cpus;
@@ -345,7 +346,7 @@
       }
       this.checkEveryone();
       this.registry.tick();
-      this.finisher.tick();
+      this.completionWriter.tick();
       this.fleet.tick();
       this.placement.round();
       this.wake();
@@ -387,7 +388,7 @@
     }
     this.everyoneKnown = true;
     this.deps.world.log.info(
-      { machines: this.table.size(), jobs: this.book.size() },
+      { machines: this.table.size(), jobs: this.jobs.size() },
       'every machine is known',
     );
     this.wake();
@@ -418,7 +419,7 @@
   }
 
   /** A worker's report: the answer's token and orders, or null if this node may not answer. */
-  beat(r: WorkerReport): { token: number; orders: Order[] } | null {
+  beat(r: WorkerReport): { token: number; orders: WorkerCommand[] } | null {
     if (!this.deps.leads()) return null;
     const now = this.deps.world.clock.now();
     if (this.state !== 'serving') return { token: this.baseToken, orders: [] };
@@ -435,7 +436,7 @@
     if (m.commandFailures > 0) m.nextSendAt = Math.min(m.nextSendAt, now);
     this.applyReport(m, r);
     if (r.session === m.session) m.reportSeq = r.seq;
-    const orders = m.stored ? answerOrders(m, this.table, now) : [];
+    const orders = m.stored ? commandsForReport(m, this.table, now) : [];
     return { token: this.table.ask(m, now, this.deps.settings.leaseS * 500), orders };
   }
 
@@ -447,7 +448,7 @@
     const mustEnd = (m: Machine): boolean =>
       !m.expired &&
       (this.fleet.isLost(m) ||
-        this.fleet.isSilent(m, now - this.keepMs / 4) ||
+        this.fleet.isSilent(m, now - this.leaseExtensionMs / 4) ||
         (m.suspect && !m.certain() && m.commandFailures > 0));
     const keep = ![...this.table.all()].some(mustEnd);
     this.grants.asked(from, keep, now);
@@ -458,9 +459,9 @@
    * While paused this node may keep leases as a follower may, counted from when nobody can have claimed after it:
    * a new leader takes it that former ones keep no longer than that from its own claim.
    */
-  keepWhilePaused(r: WorkerReport, unclaimedUntil: number): boolean {
+  mayExtendWhilePaused(r: WorkerReport, unclaimedUntil: number): boolean {
     const now = this.deps.world.clock.now();
-    if (this.state !== 'serving' || now - unclaimedUntil >= this.keepMs / DRIFT) return false;
+    if (this.state !== 'serving' || now - unclaimedUntil >= this.leaseExtensionMs / DRIFT) return false;
     if (Math.floor(r.token / TOKEN_SPAN) !== this.claim.revision) return false;
     const m = this.table.get(r.machine);
     if (m) m.renewedAt = now;
@@ -469,7 +470,7 @@
 
   /** Called off, as this node knows otherwise than by the watch, which may be late. */
   cancelledElsewhere(id: string): void {
-    const job = this.book.get(id);
+    const job = this.jobs.get(id);
     if (job && this.state === 'serving') this.markCancelled(job);
   }
 
@@ -496,11 +497,11 @@
     const there = settings.peers.filter((p) => p.zone === zone);
     if (zone === settings.zone) return Infinity;
     if (there.length === 0) return null;
-    return Math.max(...there.map((p) => this.grants.contactAt(p.name))) + this.keepMs;
+    return Math.max(...there.map((p) => this.grants.contactAt(p.name))) + this.leaseExtensionMs;
   }
 
   progress(): [string, Progress][] {
-    return [...this.book.all()].map((j) => [j.spec.id, this.progressOf(j)]);
+    return [...this.jobs.all()].map((j) => [j.spec.id, this.progressOf(j)]);
   }
 
   private progressOf(job: Job): Progress {
@@ -508,7 +509,7 @@
   }
 
   progressFor(id: string): Progress | undefined {
-    const job = this.book.get(id);
+    const job = this.jobs.get(id);
     return job && this.progressOf(job);
   }
 }
--- a/src/leadership/keeping.ts
+++ b/src/leadership/lease-extension.ts
@@ -1,7 +1,7 @@
 /**
  * Keeping worker leases while the leader can't be reached. A worker kills its tasks when nobody answers its
  * reports for a lease, so a short cut between zones, or a leader's crash, would cost all the work behind it.
- * Followers therefore hold a grant of the leader: for `keepMs` from when it was asked for they may answer
+ * Followers therefore hold a grant of the leader: for `leaseExtensionMs` from when it was asked for they may answer
  * reports with the worker's own token and no orders. That renews the lease and does nothing else.
  *
  * It stays safe because every grant is bounded by its follower's own clock, counted from when it was asked
@@ -15,12 +15,12 @@
 export const ASK_MS = 400;
 
 /** Tasks must be gone `cancel_s` after a cancellation also when their machine is kept, and cut off, till the end. */
-export function keepMs(cancelS: number, leaseS: number): number {
+export function leaseExtensionMs(cancelS: number, leaseS: number): number {
   return Math.max(0, Math.min(20_000, (cancelS - leaseS - 4) * 1000));
 }
 
 /** The follower's side. */
-export class Keeper {
+export class LeaseExtender {
   private grant: { revision: number; until: number } | null = null;
   private contactAt = -Infinity;
 
@@ -35,7 +35,7 @@
 
   /**
    * Also after a new claim, as long as its leader is out of reach and the worker has not heard of it: two zones may
-   * be apart, and the new leader in the other. It counts what former leaders granted, see `Grants`.
+   * be apart, and the new leader in the other. It counts what former leaders granted, see `LeaseExtensionGrants`.
    */
   mayAnswer(workerToken: number, now: number): boolean {
     const g = this.grant;
@@ -45,7 +45,7 @@
 }
 
 /** The leader's side: until when anyone may have kept worker leases on its behalf. */
-export class Grants {
+export class LeaseExtensionGrants {
   private latest: number;
   private readonly contact = new Map<string, number>();
 
@@ -53,7 +53,7 @@
     private readonly lengthMs: number,
     private readonly began: number,
   ) {
-    // Grants of former leaders, and a former leader's own, last at most so long after our claim.
+    // LeaseExtensionGrants of former leaders, and a former leader's own, last at most so long after our claim.
     this.latest = began;
   }
 
--- a/src/node.ts
+++ b/src/node.ts
@@ -5,8 +5,8 @@
 import { Cloud } from './fleet/cloud.js';
 import { type Answer, JobsApi, type Progress } from './jobs/api.js';
 import { LiveMirror } from './jobs/mirror.js';
-import { LeaderDuty } from './leadership/duty.js';
-import { ASK_MS, Keeper, keepMs } from './leadership/keeping.js';
+import { LeaderTerm } from './leadership/leader-term.js';
+import { ASK_MS, LeaseExtender, leaseExtensionMs } from './leadership/lease-extension.js';
 import { Leadership } from './leadership/leadership.js';
 import { Cancellations } from './jobs/cancellations.js';
 import { Attestations } from './peers/attestations.js';
@@ -14,7 +14,7 @@
 import { StateStore } from './state-store/client.js';
 import type { Body } from './wire/cbor.js';
 import { catalogBody, readReport, readTypes, redirectBody, reportAnswer } from './wire/messages.js';
-import type { MachineType, Order, WorkerReport } from './wire/model.js';
+import type { MachineType, WorkerCommand, WorkerReport } from './wire/model.js';
 
 const TYPES_KEY = 'catalog';
 /** Of the state service's requests, for answering questions. */
@@ -34,11 +34,11 @@
   readonly leadership: Leadership;
   private readonly store: StateStore;
   private readonly cloud: Cloud;
-  private duty: LeaderDuty | null = null;
+  private term: LeaderTerm | null = null;
   private types: MachineType[] | null = null;
   private progress = new Map<string, Progress>();
   private probing = false;
-  private readonly keeper: Keeper;
+  private readonly keeper: LeaseExtender;
   /** What the other nodes last told of the state service. */
   private readonly peersServed = new Map<string, { served: boolean; at: number }>();
   private readonly mirror: LiveMirror;
@@ -59,7 +59,7 @@
       writeRps: settings.stateWriteRps,
     });
     this.cancellations = new Cancellations(settings.cancelS, settings.leaseS, () => world.clock.now());
-    this.cancellations.onNew((id) => this.duty?.cancelledElsewhere(id));
+    this.cancellations.onNew((id) => this.term?.cancelledElsewhere(id));
     this.attestations = new Attestations(
       settings.node,
       `${wallMs()}-${world.random()}`,
@@ -73,22 +73,22 @@
       (id) => this.cancellations.learn(id),
       (sent) => this.cancellations.completeAsOf(sent),
     );
-    this.keeper = new Keeper(keepMs(settings.cancelS, settings.leaseS));
+    this.keeper = new LeaseExtender(leaseExtensionMs(settings.cancelS, settings.leaseS));
     this.cloud = new Cloud(world, settings.cloud, settings.cloudRps);
     this.leadership = new Leadership(world, settings, operator.leader_lease_ms, this.store, {
-      elected: () => this.startDuty(),
+      elected: () => this.startTerm(),
       deposed: () => {
-        this.duty?.end();
-        this.duty = null;
+        this.term?.end();
+        this.term = null;
       },
-      resumed: () => this.duty?.resumed(),
+      resumed: () => this.term?.resumed(),
     });
     this.api = new JobsApi({
       settings,
       store: this.store,
       mirror: this.mirror,
       types: () => this.types,
-      progress: (id) => this.duty?.progressFor(id) ?? this.progress.get(id),
+      progress: (id) => this.term?.progressFor(id) ?? this.progress.get(id),
       confirming: (id) => this.confirming(id),
       wallMs,
     });
@@ -131,10 +131,10 @@
     return told.length === 0 ? this.settings.peers.length > 0 : told.some((p) => p.served);
   }
 
-  private startDuty(): void {
+  private startTerm(): void {
     const { world, settings, operator, store, wallMs, leadership } = this;
     const claim = leadership.current()!;
-    this.duty = new LeaderDuty(
+    this.term = new LeaderTerm(
       {
         world,
         settings,
@@ -150,7 +150,7 @@
       },
       claim,
     );
-    void this.duty.run();
+    void this.term.run();
   }
 
   /** The catalog, from the cloud, or as a node last kept it when the cloud can't be reached. */
@@ -172,8 +172,8 @@
   }
 
   private tellProgress(): void {
-    if (this.duty && this.leadership.leads())
-      this.tellPeers({ t: 'progress', from: this.settings.node, jobs: this.duty.progress() });
+    if (this.term && this.leadership.leads())
+      this.tellPeers({ t: 'progress', from: this.settings.node, jobs: this.term.progress() });
     this.world.clock.after(PROGRESS_MS, () => this.tellProgress());
   }
 
@@ -188,17 +188,17 @@
     this.tellPeers({ t: 'served', from: this.settings.node, served });
     const { leadership } = this;
     this.tellPeers(this.attestations.statement(leadership.latestClaim(), leadership.isClaiming()));
-    if (!this.duty) this.tellPeers({ t: 'ask', from: this.settings.node, at: clock.now() });
+    if (!this.term) this.tellPeers({ t: 'ask', from: this.settings.node, at: clock.now() });
     clock.after(ASK_MS, () => this.askLeader());
   }
 
   peerMessage(m: PeerMessage): void {
     switch (m.t) {
       case 'progress':
-        if (!this.duty) this.progress = new Map(m.jobs);
+        if (!this.term) this.progress = new Map(m.jobs);
         return;
       case 'ask': {
-        const grant = this.duty?.asked(m.from);
+        const grant = this.term?.asked(m.from);
         if (grant) this.tellPeers({ t: 'grant', from: this.settings.node, to: m.from, at: m.at, ...grant });
         return;
       }
@@ -220,10 +220,10 @@
   }
 
   /** May this node, which does not lead now, renew the worker's lease? See keeping.ts. */
-  private mayKeep(r: WorkerReport): boolean {
+  private mayExtendLease(r: WorkerReport): boolean {
     const claim = this.leadership.current();
-    if (this.duty && claim)
-      return this.duty.keepWhilePaused(
+    if (this.term && claim)
+      return this.term.mayExtendWhilePaused(
         r,
         this.attestations.unclaimedUntil(claim.revision, this.leadership.validTo()),
       );
@@ -237,17 +237,17 @@
     if (!report) return { status: 400, body: { error: 'not a report' } };
     // Whoever answers renews the lease, in whatever role: see cancellations.ts.
     const mayRenew = this.cancellations.mayRenew();
-    if (this.duty && this.leadership.leads()) {
-      const answer = mayRenew ? this.duty.beat(report) : null;
+    if (this.term && this.leadership.leads()) {
+      const answer = mayRenew ? this.term.beat(report) : null;
       return answer ? this.renewed(report, answer.token, answer.orders) : NOT_NOW;
     }
-    if (mayRenew && this.mayKeep(report)) return this.renewed(report, report.token, []);
+    if (mayRenew && this.mayExtendLease(report)) return this.renewed(report, report.token, []);
     const leader = this.leadership.leader();
     if (leader === null || leader === this.settings.node) return NOT_NOW;
     return { status: 421, body: redirectBody(leader) };
   }
 
-  private renewed(r: WorkerReport, token: number, orders: Order[]): Answer {
+  private renewed(r: WorkerReport, token: number, orders: WorkerCommand[]): Answer {
     return { status: 200, body: reportAnswer(token, this.cancellations.withStops(r, orders)) };
   }
 }
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -1,18 +1,19 @@
 /** Where a task goes: pure decisions over the leader's tables. */
-import type { Job } from '../jobs/book.js';
+import type { Job } from '../jobs/job-table.js';
 import type { JobSpec } from '../wire/model.js';
-import type { Entry, Machine } from '../workers/table.js';
+import type { Machine } from '../workers/machine.js';
+import type { TaskAttempt } from '../workers/task-attempt.js';
 
 export interface ChoiceContext {
   /** Cheap machines first and full ones before empty ones, so that some can be returned. */
   saveMoney: boolean;
   /** May this task be stopped to give the job room? */
-  mayPreempt(victim: Entry, job: Job): boolean;
+  mayPreempt(victim: TaskAttempt, job: Job): boolean;
 }
 
 export interface Choice {
   machine: Machine;
-  victims: Entry[];
+  victims: TaskAttempt[];
 }
 
 const EPS = 1e-6;
@@ -29,7 +30,7 @@
 export function openZones(job: Job): ((zone: string) => boolean) | null {
   if (!job.spec.spread && !job.spec.oneZone) return null;
   const perZone = new Map<string, number>();
-  for (const list of job.held.values())
+  for (const list of job.attempts.values())
     for (const e of list) perZone.set(e.machine.zone, (perZone.get(e.machine.zone) ?? 0) + 1);
   return zonesLeftOpen(job.spec, perZone);
 }
@@ -49,21 +50,26 @@
   };
 }
 
+/** Free room for one task, beside CPUs that are promised to others. */
+export function hasFreeRoom(s: JobSpec, m: Machine, promisedCpus = 0): boolean {
+  return fits(s, m.freeCpus() - promisedCpus, m.freeGpus(), m.freeMemory());
+}
+
 function fits(s: JobSpec, cpus: number, gpus: number, memory: number): boolean {
   return cpus + EPS >= s.cpus && gpus + EPS >= s.gpus && memory + EPS >= s.memoryGb;
 }
 
 /** The youngest tasks whose end would make room, or null. */
-export function victimsFor(job: Job, m: Machine, ctx: ChoiceContext): Entry[] | null {
+export function victimsFor(job: Job, m: Machine, ctx: ChoiceContext): TaskAttempt[] | null {
   const s = job.spec;
   let [cpus, gpus, memory] = [m.freeCpus(), m.freeGpus(), m.freeMemory()];
   if (fits(s, cpus, gpus, memory)) return [];
-  const candidates = [...m.entries.values()].filter(
+  const candidates = [...m.attempts.values()].filter(
     (e) =>
       e.onMachine() && !e.open && !e.stop && e.job !== null && e.state !== 'saving' && ctx.mayPreempt(e, job),
   );
   candidates.sort((a, b) => b.createdAt - a.createdAt);
-  const victims: Entry[] = [];
+  const victims: TaskAttempt[] = [];
   for (const e of candidates) {
     const v = e.job!.spec;
     victims.push(e);
@@ -75,7 +81,8 @@
   return null;
 }
 
-function fetchDelay(s: JobSpec, m: Machine): number {
+/** Expected seconds until the machine has the job's image. */
+export function imageFetchSeconds(s: JobSpec, m: Machine): number {
   if (m.images.has(s.image)) return 0;
   const full = s.imageGb / m.type.fetchGbPerS;
   if (m.fetching.has(s.image)) return full / 2;
@@ -102,7 +109,7 @@
     machines: Iterable<Machine>,
     private readonly ctx: ChoiceContext,
   ) {
-    for (const list of job.held.values()) for (const e of list) this.count(e.machine);
+    for (const list of job.attempts.values()) for (const e of list) this.count(e.machine);
     // A zone that is closed to the job stays closed while its tasks are placed.
     const open = zonesLeftOpen(job.spec, this.perZone);
     for (const m of machines) {
@@ -134,7 +141,7 @@
     if (!victims) return Infinity;
     const freeShare = m.freeCpus() / m.type.cpus;
     return (
-      fetchDelay(s, m) * 100 +
+      imageFetchSeconds(s, m) * 100 +
       victims.length * 120 +
       (m.slow ? 400 : 0) +
       this.company(m) +
--- a/src/placement/order.ts
+++ b/src/placement/order.ts
@@ -1,10 +1,10 @@
 /** In which order waiting jobs are served: pure. */
-import type { Job } from '../jobs/book.js';
+import type { Job } from '../jobs/job-table.js';
 import type { Objective } from '../settings/platform.js';
-import type { QuotaBook } from './quota.js';
+import type { TeamUsage } from './quota.js';
 
 /** Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs. */
-export function withinGuarantee(jobs: Iterable<Job>, quota: QuotaBook): Set<Job> {
+export function withinGuarantee(jobs: Iterable<Job>, quota: TeamUsage): Set<Job> {
   const used = new Map<string, number>();
   const out = new Set<Job>();
   const byAge = [...jobs].filter((j) => !j.cancelled).sort((a, b) => a.at - b.at || a.idx - b.idx);
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -1,10 +1,16 @@
+/** Decides which task goes where, when, and instead of what. Sends nothing: it places and stops attempts in the table. */
 import type { OperatorSettings } from '../settings/operator.js';
 import type { PlatformSettings } from '../settings/platform.js';
 import { moneyCounts } from '../settings/money.js';
 import type { World } from '../runtime.js';
-import type { Job, JobBook } from '../jobs/book.js';
-import type { Entry, Machine, MachineTable } from '../workers/table.js';
-import { Candidates, type ChoiceContext, allowedOn, closedZones, openZones } from './choose.js';
+import type { Job, JobTable } from '../jobs/job-table.js';
+import type { Machine } from '../workers/machine.js';
+import type { MachineTable } from '../workers/machine-table.js';
+import type { TaskAttempt } from '../workers/task-attempt.js';
+import { Candidates, type ChoiceContext, closedZones } from './choose.js';
+import { DemandHistory } from './demand-history.js';
+import { forgetFailedMachines, noteFailure, noteSuccess } from './failures.js';
+import { GangScheduler } from './gang-scheduler.js';
 import {
   type FinishGoals,
   type Urgency,
@@ -13,16 +19,17 @@
   urgency,
   withinGuarantee,
 } from './order.js';
-import { gangAttempt, gangState, keptFor, missing, slots, zonesInTurn } from './gangs.js';
-import { QuotaBook } from './quota.js';
+import { TeamUsage } from './quota.js';
+import { Rebalancer } from './rebalancer.js';
+import { Reservations, type Resources } from './reservations.js';
 import { RunTimes } from './run-times.js';
-import { Timings, selectMove, slowMachines, trimTimings } from './stragglers.js';
+import { Timings, trimTimings } from './stragglers.js';
 
 export interface PlacementDeps {
   world: World;
   settings: PlatformSettings;
   operator: OperatorSettings;
-  book: JobBook;
+  jobs: JobTable;
   table: MachineTable;
   attemptBase: number;
   /** May jobs of former leaders be acted on yet? */
@@ -35,157 +42,165 @@
 /** A pass is bounded, so that renewals, health checks and answers never wait long behind it. */
 const STARTS_PER_PASS = 400;
 const LOOKS_PER_PASS = 30_000;
-/** How fast arrivals of services fade. */
-const ARRIVALS_S = 40;
 /** Who is within a guarantee changes slowly. */
 const GUARANTEE_MS = 300;
 /** A job of which nothing has begun after so long gets a first share of its tasks before all others. */
 const STARVED_MS = 60_000;
-/** An array of which nothing starts for so long takes the room that its team keeps for services. */
-const PATIENT_MS = 30_000;
-/** A gang that finds no room for so long. */
-const GANG_PATIENT_MS = 10_000;
-/** What is kept for it is kept for so long, and then anew while it waits. */
-const KEPT_MS = 1500;
-/** Whatever waits for longer takes what is kept for a gang: nobody may wait for ever beside room. */
-const YIELDS_MS = 60_000;
-const FOOT_IN_THE_DOOR = 0.25;
-
-/** Which task goes where, when, and instead of what. Sends nothing: it holds and stops entries in the table. */
+const STARVED_JOB_SHARE = 0.25;
+/** An array of which nothing has started for so long uses any machine that it is allowed on. */
+const CHOOSY_MS = 30_000;
+/** Arrays leave ordinary room for so many gangs as large as the largest recent one. */
+const GANGS_TO_EXPECT = 2;
+/** A task that was refused for lack of room, or since an old attempt is still there, waits for a newer report. */
+const REFUSED_MS = 300;
+const NO_RESOURCES: Resources = { cpus: 0, gpus: 0 };
+
+/** What one pass shares among the jobs it looks at. */
+interface Pass {
+  now: number;
+  wallMs: number;
+  oldJobsOpen: boolean;
+  context: ChoiceContext;
+  /** Usable machines with room for some waiting task, and those without. */
+  roomy: Machine[];
+  full: Machine[];
+  zones: Set<string>;
+  /** The lowest priority that is on any machine, as a number. */
+  leastUrgent: number;
+  unseen: Map<string, Resources>;
+  /** CPUs free on ordinary machines beyond what arrays leave to gangs. */
+  ordinarySpare: number;
+  /** Shapes of jobs that found no room. */
+  noRoom: Set<string>;
+  /** Teams whose own work was asked to leave room: one job a team, since it looks at all tasks. */
+  askedTeams: Set<string>;
+  starts: number;
+  looks: number;
+}
+
 export class Placement {
-  private readonly quota: QuotaBook;
+  private readonly usage: TeamUsage;
   private readonly runTimes = new RunTimes();
   private readonly timings = new Timings();
+  private readonly reservations: Reservations;
+  private readonly history: DemandHistory;
+  private readonly gangs: GangScheduler;
+  private readonly rebalancer: Rebalancer;
   private readonly endedJobs: number[] = [];
-  private attempts = 0;
+  private attemptCount = 0;
   private lastRound: number;
-  private drainNext = 0;
   private guaranteed = new Set<Job>();
   private guaranteedAt = -Infinity;
-  /** CPUs of services that came, the older ones fading. */
-  private arrivals = { cpus: 0, at: 0 };
-  /** The largest gang of late, in CPUs, fading. */
-  private gangs = { cpus: 0, at: 0 };
   /** What placing cost since the last round, for the log. */
   private work = { passes: 0, looks: 0, starts: 0 };
-  /** Machines kept for a gang that waits. */
-  private kept: { job: Job; machines: Set<Machine>; until: number } | null = null;
-  /** A gang for which its team's arrays leave room under the limit. */
-  private limitKept: { job: Job; until: number } | null = null;
   private readonly saveMoney: boolean;
   private readonly goals: FinishGoals;
-  /** The most CPUs that one service asked of its team: arrays leave that much under the team's limit. */
-  private readonly serviceCpus = new Map<string, number>();
 
   constructor(private readonly deps: PlacementDeps) {
-    this.quota = new QuotaBook(deps.settings.teams);
-    this.saveMoney = moneyCounts(deps.settings, deps.operator);
-    this.goals = finishGoals(deps.settings.objectives);
-    this.lastRound = deps.world.clock.now();
-  }
-
-  // What the machine table tells.
-
-  held(e: Entry): void {
-    if (!e.job) return;
-    e.job.hold(e);
-    this.quota.hold(e.job.spec);
-  }
-
-  left(e: Entry): void {
-    const { job, machine } = e;
+    const { settings, operator, table, world } = deps;
+    const now = (): number => world.clock.now();
+    const usable = (machine: Machine): boolean => this.usable(machine);
+    this.usage = new TeamUsage(settings.teams);
+    this.saveMoney = moneyCounts(settings, operator);
+    this.goals = finishGoals(settings.objectives);
+    this.lastRound = now();
+    this.history = new DemandHistory(now);
+    this.reservations = new Reservations(deps.jobs);
+    this.gangs = new GangScheduler({
+      table,
+      usage: this.usage,
+      reservations: this.reservations,
+      log: world.log,
+      gangWaitS: settings.gangWaitS,
+      gangPeerS: settings.gangPeerS,
+      reportS: settings.reportS,
+      now,
+      nextAttempt: () => this.nextAttempt(),
+      usable,
+    });
+    this.rebalancer = new Rebalancer({
+      table,
+      operator,
+      log: world.log,
+      timings: this.timings,
+      runTimes: this.runTimes,
+      gangs: this.gangs,
+      usable,
+      stop: (attempt, graceS, reason) => this.stop(attempt, graceS, reason),
+    });
+  }
+
+  // Changes of the machine table.
+
+  attemptAdded(attempt: TaskAttempt): void {
+    if (!attempt.job) return;
+    attempt.job.addAttempt(attempt);
+    this.usage.hold(attempt.job.spec);
+  }
+
+  attemptGone(attempt: TaskAttempt): void {
+    const { job, machine, cause } = attempt;
     if (!job) return;
     const now = this.deps.world.clock.now();
-    if (e.cause === 'done') {
-      if (e.runningSince > 0 && job.spec.kind !== 'service') {
-        const ms = now - e.runningSince;
-        this.runTimes.record(job.spec.cls, ms, job.spec.estimateS * 1000);
-        // A gang runs at the speed of its slowest machine, which tells nothing of the others.
-        if (job.spec.kind === 'array') this.timings.record(job.idx, machine.idx, ms);
-      }
-      machine.failedJobs.delete(job.idx);
-      job.failedOn.clear();
-      job.failures = 0;
-      if (!job.cancelled && job.spec.kind === 'gang') job.finishAll(now);
-      else if (!job.cancelled) job.finish(e.num, now);
+    if (cause === 'done') this.taskDone(job, attempt, now);
+    job.removeAttempt(attempt);
+    this.usage.release(job.spec);
+    if (job.spec.kind === 'gang') this.gangs.attemptGone(job, attempt);
+    if (cause === 'error' || cause === 'unknown')
+      if (noteFailure(job, machine, this.deps.table, now))
+        this.deps.world.log.info({ id: machine.id }, 'machine fails tasks of several jobs');
+    if (cause === 'no_room' || cause === 'busy') job.notBefore = Math.max(job.notBefore, now + REFUSED_MS);
+  }
+
+  private taskDone(job: Job, attempt: TaskAttempt, now: number): void {
+    const { spec } = job;
+    if (attempt.runningSince > 0 && spec.kind !== 'service') {
+      const ms = now - attempt.runningSince;
+      this.runTimes.record(spec.cls, ms, spec.estimateS * 1000);
+      // A gang runs at the speed of its slowest machine, which tells nothing of the others.
+      if (spec.kind === 'array') this.timings.record(job.idx, attempt.machine.idx, ms);
     }
-    job.release(e);
-    this.quota.release(job.spec);
-    if (job.spec.kind === 'gang' && e.sent && !job.complete()) this.gangLost(job, e);
-    if (e.cause === 'error' || e.cause === 'unknown') this.noteFailure(job, machine, now);
-    if (e.cause === 'no_room' || e.cause === 'busy') job.notBefore = Math.max(job.notBefore, now + 300);
+    noteSuccess(job, attempt.machine);
+    if (job.cancelled) return;
+    if (spec.kind === 'gang') job.finishAll(now);
+    else job.finish(attempt.num, now);
   }
 
-  /**
-   * While the gang gathers, one that vanished or found no room is replaced under the same attempt, and the others go on
-   * waiting. Otherwise the gang leaves whole, and starts again whole once nothing of it is left.
-   */
-  private gangLost(job: Job, e: Entry): void {
-    const replaceable = e.cause === null || e.cause === 'no_room' || e.cause === 'busy';
-    if (!replaceable || gangState(job) !== 'gathering') this.stopAll(job, 'a task of the gang is gone');
-  }
-
-  /** Told all at once, and with the time to save: then the next start goes on from there. */
-  private stopGang(job: Job, why: string, leftS = Infinity): void {
-    const { saveS, checkpointS } = job.spec;
-    const saves = gangState(job) === 'running' && checkpointS > 0 && saveS <= leftS;
-    this.stopAll(job, why, saves ? saveS : 0);
-  }
-
-  /** A job that fails on several machines is itself at fault: it waits longer each time, and condemns none. */
-  private noteFailure(job: Job, machine: Machine, now: number): void {
-    job.failures++;
-    job.failedOn.add(machine.idx);
-    machine.failedJobs.add(job.idx);
-    if (job.failedOn.size >= 3) {
-      for (const m of this.deps.table.all()) m.failedJobs.delete(job.idx);
-      job.failedOn.clear();
-    }
-    job.notBefore = now + Math.min(20_000, 200 * 2 ** Math.min(job.failures, 8));
-    if (machine.failedJobs.size >= 2 && !machine.draining) {
-      this.deps.world.log.info({ id: machine.id }, 'machine fails tasks of several jobs');
-      machine.draining = 'faulty';
-    }
-  }
-
-  reported(m: Machine): void {
-    if (m.noticeUntil !== null && !m.draining) m.draining = 'notice';
+  reported(machine: Machine): void {
+    if (machine.noticeUntil !== null && !machine.draining) machine.draining = 'notice';
     const now = this.deps.world.clock.now();
-    for (const e of [...m.entries.values()]) {
-      if (!e.onMachine() || e.stop) continue;
-      if (!e.job) this.stop(e, 0, 'no such job');
-      else if (e.job.cancelled) this.stop(e, 0, 'cancelled');
-      else if (e.job.isFinished(e.num) && e.job.spec.kind !== 'gang') this.stop(e, 0, 'finished elsewhere');
-      else {
-        // A late report of a machine that is gone shows a copy, too: only one that obeys us proves anything.
-        const copies = e.job.held.get(e.num);
-        const first = copies && copies.length > 1 ? copies[0]! : e;
-        if (first !== e && first.machine.certain() && m.certain()) this.stop(e, 0, 'second copy');
-      }
+    for (const attempt of [...machine.attempts.values()]) {
+      if (!attempt.onMachine() || attempt.stop) continue;
+      const reason = this.reasonToStop(attempt);
+      if (reason !== null) this.stop(attempt, 0, reason);
+      else if (attempt.job?.spec.kind === 'gang') this.gangs.reported(attempt.job, attempt);
     }
-    if (m.draining === 'notice') this.drain(m, now);
+    if (machine.draining === 'notice') this.rebalancer.drain(machine, now);
   }
 
-  cancelled(job: Job): void {
-    this.stopAll(job, 'cancelled');
+  private reasonToStop(attempt: TaskAttempt): string | null {
+    const { job, machine } = attempt;
+    if (!job) return 'no such job';
+    if (job.cancelled) return 'cancelled';
+    if (job.isFinished(attempt.num) && job.spec.kind !== 'gang') return 'finished elsewhere';
+    // A late report of a machine that is gone shows a copy, too: only one that obeys us proves anything.
+    const copies = job.attempts.get(attempt.num);
+    const first = copies && copies.length > 1 ? copies[0]! : attempt;
+    return first !== attempt && first.machine.certain() && machine.certain() ? 'second copy' : null;
   }
 
-  private stopAll(job: Job, why: string, graceS = 0): void {
-    for (const list of [...job.held.values()]) for (const e of [...list]) this.stop(e, graceS, why);
+  cancelled(job: Job): void {
+    for (const list of [...job.attempts.values()])
+      for (const attempt of [...list]) this.stop(attempt, 0, 'cancelled');
   }
 
   ended(job: Job): void {
     this.endedJobs.push(job.idx);
-    trimTimings(this.timings, (idx) => [...this.deps.book.all()].some((j) => j.idx === idx), this.endedJobs);
+    trimTimings(this.timings, (idx) => [...this.deps.jobs.all()].some((j) => j.idx === idx), this.endedJobs);
   }
 
-  private stop(e: Entry, graceS: number, why: string): void {
-    if (!e.sent) {
-      // Never sent, so it can't be anywhere.
-      this.deps.table.drop(e, this.deps.world.clock.now());
-      return;
-    }
-    this.deps.table.stop(e, graceS, why);
+  private stop(attempt: TaskAttempt, graceS: number, reason: string): void {
+    this.deps.table.stop(attempt, { graceS, reason, replaced: false }, this.deps.world.clock.now());
   }
 
   // Starts.
@@ -201,26 +216,26 @@
     );
   }
 
-  /** How many machines may not be given work, and why: for the log. */
+  /** Why a machine may not be given work; null if it may. */
+  private whyUnusable(m: Machine): string | null {
+    if (this.usable(m)) return null;
+    if (!m.stored) return 'not stored';
+    if (!m.certain()) return 'not certain';
+    if (m.draining) return m.draining;
+    return m.commandFailures > 0 ? 'unanswered' : 'silent';
+  }
+
+  /** How many machines may not be given work, by reason: for the log. */
   private unusable(): Record<string, number> {
-    const out: Record<string, number> = {};
-    for (const m of this.deps.table.all()) {
-      if (this.usable(m)) continue;
-      const why = !m.stored
-        ? 'not stored'
-        : !m.certain()
-          ? 'not certain'
-          : m.draining
-            ? m.draining
-            : m.commandFailures > 0
-              ? 'unanswered'
-              : 'silent';
-      out[why] = (out[why] ?? 0) + 1;
+    const counts: Record<string, number> = {};
+    for (const machine of this.deps.table.all()) {
+      const reason = this.whyUnusable(machine);
+      if (reason !== null) counts[reason] = (counts[reason] ?? 0) + 1;
     }
-    return out;
+    return counts;
   }
 
-  private mayPreempt(victim: Entry, job: Job): boolean {
+  private mayPreempt(victim: TaskAttempt, job: Job): boolean {
     const v = victim.job!;
     // The end of one task would end them all.
     if (v.spec.kind === 'gang') return false;
@@ -230,77 +245,30 @@
       !this.guaranteed.has(v) &&
       v.spec.priority > 0 &&
       v.spec.team !== job.spec.team &&
-      this.quota.borrows(v.spec.team)
+      this.usage.borrows(v.spec.team)
     );
   }
 
-  private context(): ChoiceContext {
-    return {
-      saveMoney: this.saveMoney,
-      mayPreempt: (v, j) => this.mayPreempt(v, j),
-    };
-  }
-
   /** CPUs the job would use if there were room: its team's limit taken into account. */
   wantedCpus(job: Job): number {
-    const s = job.spec;
-    const team = this.quota.team(s.team);
-    const open = (job.held.size + job.pending()) * s.cpus;
+    const team = this.usage.team(job.spec.team);
+    const open = (job.attempts.size + job.pending()) * job.spec.cpus;
     return Math.min(open, team?.cpusMax ?? 0);
   }
 
   private nextAttempt(): number {
-    return this.deps.attemptBase + this.attempts++;
-  }
-
-  private begin(
-    job: Job,
-    num: number,
-    m: Machine,
-    victims: Entry[],
-    now: number,
-    attempt = this.nextAttempt(),
-  ): Entry {
-    for (const v of victims) this.stop(v, 0, 'preempted');
-    this.work.starts++;
-    job.startedAt = now;
-    return this.deps.table.hold(m, job.spec.id, job, num, attempt, now);
-  }
-
-  /** Arrays leave room under their team's limit for its services. */
-  private noteService(job: Job): void {
-    const { kind, team, cpus, tasks } = job.spec;
-    if (kind !== 'service') return;
-    this.serviceCpus.set(team, Math.max(this.serviceCpus.get(team) ?? 0, cpus * Math.min(4, tasks)));
+    return this.deps.attemptBase + this.attemptCount++;
   }
 
   /** CPUs a second that services asked for, of late. */
   arriving(): number {
-    const quietS = (this.deps.world.clock.now() - this.arrivals.at) / 1000;
-    return (this.arrivals.cpus * Math.exp(-quietS / ARRIVALS_S)) / ARRIVALS_S;
-  }
-
-  private noteArrival(job: Job): void {
-    const cpus = this.arriving() * ARRIVALS_S + job.spec.cpus * job.spec.tasks;
-    this.arrivals = { cpus, at: this.deps.world.clock.now() };
-  }
-
-  private noteGang(job: Job): void {
-    const now = this.deps.world.clock.now();
-    const cpus = job.spec.cpus * job.spec.tasks;
-    this.gangs = { cpus: Math.max(cpus, this.gangRoom(now)), at: now };
-  }
-
-  /** Ordinary room that arrays leave to the next gang, where they may use spot machines: that of the largest of late. */
-  private gangRoom(now: number): number {
-    return this.gangs.cpus * Math.exp(-(now - this.gangs.at) / (ARRIVALS_S * 1000));
+    return this.history.serviceCpusPerSecond();
   }
 
   /** A job is known now, or has come back from a former leader. */
   accepted(job: Job): void {
-    this.noteService(job);
-    if (job.fresh && job.spec.kind === 'service') this.noteArrival(job);
-    if (job.spec.kind === 'gang') this.noteGang(job);
+    this.reservations.noteService(job);
+    this.history.note(job);
     this.guaranteedAt = -Infinity;
   }
 
@@ -309,365 +277,221 @@
    * finds no room, its likes don't look. Machines are scored once a job, not once a task.
    */
   pass(): boolean {
-    const { book, world } = this.deps;
-    const now = world.clock.now();
-    const open = this.deps.oldJobsOpen();
-    const waiting: Job[] = [];
-    let leastUrgent = 0;
-    for (const job of book.all()) {
-      if (job.held.size > 0) leastUrgent = Math.max(leastUrgent, job.spec.priority);
-      if (job.pending() > 0 && job.notBefore <= now && (job.fresh || open)) waiting.push(job);
-    }
+    const now = this.deps.world.clock.now();
+    const oldJobsOpen = this.deps.oldJobsOpen();
+    const waiting = [...this.deps.jobs.all()].filter(
+      (job) => job.pending() > 0 && job.notBefore <= now && (job.fresh || oldJobsOpen),
+    );
     if (waiting.length === 0) return false;
     this.work.passes++;
-    if (now - this.guaranteedAt >= GUARANTEE_MS) {
-      this.guaranteedAt = now;
-      this.guaranteed = withinGuarantee(book.all(), this.quota);
+    this.updateGuaranteed(now);
+    const pass = this.beginPass(waiting, now, oldJobsOpen);
+    for (const job of servingOrder(waiting, this.guaranteed, (j) => this.urgencyOf(j, pass))) {
+      if (pass.starts <= 0 || pass.looks <= 0) return true;
+      forgetFailedMachines(job, now);
+      if (job.spec.kind === 'gang') this.placeGang(job, pass);
+      else this.placeTasks(job, pass);
     }
-    const unseen = this.unseen();
-    const ctx = this.context();
-    const { roomy, full } = this.usableMachines(waiting);
-    const zones = new Set([...roomy, ...full].map((m) => m.zone));
-    /** Free on ordinary machines beyond what arrays leave to gangs. */
-    const forGangs = 2 * this.gangRoom(now);
-    let spare =
-      forGangs < 1 ? Infinity : roomy.reduce((n, m) => n + (m.spot ? 0 : m.freeCpus()), 0) - forGangs;
-    const noRoom = new Set<string>();
-    /** Teams whose own work was asked to leave room in this pass: one job a team, since it looks at all tasks. */
-    const asked = new Set<string>();
-    let starts = STARTS_PER_PASS;
-    let looks = LOOKS_PER_PASS;
-    const wall = this.deps.wallMs();
-    const expected = (j: Job): number =>
-      this.timings.usual(j.idx) ?? this.runTimes.expected(j.spec.cls, j.spec.estimateS * 1000);
-    const order = (j: Job): Urgency =>
-      urgency(j, this.goals, expected(j), wall, this.starved(j, wall) || this.isPatient(j, now));
-    for (const job of servingOrder(waiting, this.guaranteed, order)) {
-      if (starts <= 0 || looks <= 0) return true;
-      const guaranteed = this.guaranteed.has(job);
-      const choosy =
-        job.spec.kind === 'array' && job.spec.spot && !guaranteed && now - job.startedAt <= PATIENT_MS;
-      const mine = (list: Machine[]): Machine[] => {
-        const left = this.withoutKept(job, list, now);
-        return choosy && spare <= 0 ? left.filter((m) => m.spot) : left;
-      };
-      if (job.spec.kind === 'gang') {
-        const mayStop = job.spec.priority < leastUrgent || guaranteed;
-        const machines = mine([...roomy, ...full]);
-        looks -= machines.length;
-        this.work.looks += machines.length;
-        const placed = this.startGang(job, ctx, machines, unseen.get(job.spec.team), mayStop, now);
-        starts -= placed ? job.spec.tasks : 0;
-        if (placed === false && this.isPatient(job, now)) this.keepFor(job, machines, now);
-        continue;
-      }
-      // Replicas whose zones are closed must not cost all others their looks, pass after pass: see incident fleet-loss.
-      const shape = `${job.key}|${closedZones(job, zones)}`;
-      const likes = `${shape}|${guaranteed ? job.spec.team : ''}|${choosy}`;
-      if (noRoom.has(likes) || this.yieldsLimit(job, now)) continue;
-      const keep = this.keptForServices(job, now);
-      const elsewhere = unseen.get(job.spec.team);
-      let most = this.starved(job, wall) ? Math.ceil(job.spec.tasks * FOOT_IN_THE_DOOR) : Infinity;
-      let candidates: Candidates | null = null;
-      while (starts > 0 && most-- > 0 && job.pending() > 0) {
-        if (!this.quota.allows(job.spec, keep + (elsewhere?.cpus ?? 0), elsewhere?.gpus)) {
-          if (job.spec.priority === 0 && open && !asked.has(job.spec.team)) this.makeQuota(job);
-          asked.add(job.spec.team);
-          break;
-        }
-        if (!candidates) {
-          const mayStop = job.spec.priority < leastUrgent || guaranteed;
-          candidates = new Candidates(job, mine(mayStop ? [...roomy, ...full] : roomy), ctx);
-          looks -= candidates.looked;
-          this.work.looks += candidates.looked;
-          if (!candidates.any() && job.failedOn.size === 0) noRoom.add(likes);
-        }
-        const num = job.next();
-        const choice = num < 0 ? null : candidates.best();
-        if (!choice) break;
-        this.begin(job, num, choice.machine, choice.victims, now);
-        candidates.placed(choice.machine);
-        if (!choice.machine.spot) {
-          spare -= job.spec.cpus;
-          if (choosy && spare <= 0) candidates = null;
-        }
-        starts--;
-      }
-    }
-    return starts <= 0;
+    return pass.starts <= 0;
   }
 
-  /** An array leaves its team's next service room under the limit, but not for ever: nobody may come. */
-  private keptForServices(job: Job, now: number): number {
-    if (job.spec.kind !== 'array' || now - job.startedAt > PATIENT_MS) return 0;
-    return this.serviceCpus.get(job.spec.team) ?? 0;
+  private updateGuaranteed(now: number): void {
+    if (now - this.guaranteedAt < GUARANTEE_MS) return;
+    this.guaranteedAt = now;
+    this.guaranteed = withinGuarantee(this.deps.jobs.all(), this.usage);
   }
 
-  /** Nothing of it has begun for long: streams of smaller jobs must not keep a large one out for ever. */
-  private starved(j: Job, wallMs: number): boolean {
-    return (
-      j.spec.kind === 'array' && j.held.size === 0 && j.finishedCount === 0 && wallMs - j.at > STARVED_MS
-    );
+  private beginPass(waiting: Job[], now: number, oldJobsOpen: boolean): Pass {
+    const { roomy, full } = this.usableMachines(waiting);
+    return {
+      now,
+      wallMs: this.deps.wallMs(),
+      oldJobsOpen,
+      context: { saveMoney: this.saveMoney, mayPreempt: (victim, job) => this.mayPreempt(victim, job) },
+      roomy,
+      full,
+      zones: new Set([...roomy, ...full].map((m) => m.zone)),
+      leastUrgent: this.leastUrgent(),
+      unseen: this.unseen(oldJobsOpen),
+      ordinarySpare: this.ordinarySpare(roomy),
+      noRoom: new Set(),
+      askedTeams: new Set(),
+      starts: STARTS_PER_PASS,
+      looks: LOOKS_PER_PASS,
+    };
   }
 
-  /** Machines that may be given work: those with room for some waiting task, and those without. */
-  private usableMachines(waiting: Job[]): { roomy: Machine[]; full: Machine[] } {
-    const least = waiting.reduce((n, j) => Math.min(n, j.spec.cpus), Infinity) - 1e-6;
-    const roomy: Machine[] = [];
-    const full: Machine[] = [];
-    for (const m of this.deps.table.all()) if (this.usable(m)) (m.freeCpus() >= least ? roomy : full).push(m);
-    return { roomy, full };
+  private leastUrgent(): number {
+    let least = 0;
+    for (const job of this.deps.jobs.all())
+      if (job.attempts.size > 0) least = Math.max(least, job.spec.priority);
+    return least;
   }
 
-  private heldByArrays(team: string): { cpus: number; gpus: number } {
-    const out = { cpus: 0, gpus: 0 };
-    for (const { spec, held } of this.deps.book.all()) {
-      if (spec.kind !== 'array' || spec.team !== team) continue;
-      out.cpus += held.size * spec.cpus;
-      out.gpus += held.size * spec.gpus;
-    }
-    return out;
+  private ordinarySpare(roomy: Machine[]): number {
+    const forGangs = GANGS_TO_EXPECT * this.history.gangCpus();
+    if (forGangs < 1) return Infinity;
+    return roomy.reduce((sum, m) => sum + (m.spot ? 0 : m.freeCpus()), 0) - forGangs;
   }
 
-  /** A gang of the same team waits for room under the team's limit, and the job is not more urgent. */
-  private yieldsLimit(job: Job, now: number): boolean {
-    const k = this.limitKept;
-    if (!k || now >= k.until || k.job.held.size > 0 || k.job.cancelled || job.spec.kind !== 'array')
-      return false;
-    if (now - job.startedAt > YIELDS_MS) return false;
-    return job.spec.team === k.job.spec.team && job.spec.priority >= k.job.spec.priority;
+  private urgencyOf(job: Job, pass: Pass): Urgency {
+    const { cls, estimateS } = job.spec;
+    const expected = this.timings.usual(job.idx) ?? this.runTimes.expected(cls, estimateS * 1000);
+    const first = this.starved(job, pass.wallMs) || this.gangs.isOverdue(job);
+    return urgency(job, this.goals, expected, pass.wallMs, first);
   }
 
-  /** Of several gangs one at a time: two that keep half of what each needs would block one another. */
-  private keepFor(job: Job, machines: Machine[], now: number): void {
-    const k = this.kept;
-    if (k && k.job !== job && this.isPatient(k.job, now) && now < k.until) return;
-    const allowed = machines.filter((m) => allowedOn(job.spec, m) && !job.failedOn.has(m.idx));
-    this.kept = { job, machines: keptFor(job, allowed), until: now + KEPT_MS };
+  private mayStopOthers(job: Job, pass: Pass): boolean {
+    return job.spec.priority < pass.leastUrgent || this.guaranteed.has(job);
   }
 
-  /** What a waiting gang keeps is for it alone, and for what is more urgent. */
-  private withoutKept(job: Job, list: Machine[], now: number): Machine[] {
-    const k = this.kept;
-    if (!k || k.job === job || now >= k.until || job.spec.priority < k.job.spec.priority) return list;
-    if (now - job.startedAt > YIELDS_MS) return list;
-    return k.job.held.size === 0 && !k.job.cancelled ? list.filter((m) => !k.machines.has(m)) : list;
+  private placeGang(job: Job, pass: Pass): void {
+    const machines = this.reservations.withoutReserved(job, [...pass.roomy, ...pass.full], pass.now);
+    pass.looks -= machines.length;
+    this.work.looks += machines.length;
+    const placement = this.gangs.place(job, {
+      context: pass.context,
+      machines,
+      unseen: pass.unseen.get(job.spec.team) ?? NO_RESOURCES,
+      mayPreempt: this.mayStopOthers(job, pass),
+    });
+    if (placement === 'placed') {
+      pass.starts -= job.spec.tasks;
+      this.work.starts += job.spec.tasks;
+    }
+    if (placement === 'no-room' && this.gangs.isOverdue(job)) this.gangs.reserve(job, machines);
+  }
+
+  /** An array that may use spot machines leaves ordinary ones to gangs for a while. */
+  private isChoosy(job: Job, now: number): boolean {
+    const { kind, spot } = job.spec;
+    return kind === 'array' && spot && !this.guaranteed.has(job) && now - job.startedAt <= CHOOSY_MS;
+  }
+
+  private placeTasks(job: Job, pass: Pass): void {
+    const choosy = this.isChoosy(job, pass.now);
+    const likes = this.likesOf(job, pass, choosy);
+    if (pass.noRoom.has(likes) || this.reservations.yieldsTeamLimit(job, pass.now)) return;
+    const unseen = pass.unseen.get(job.spec.team) ?? NO_RESOURCES;
+    const keepCpus = this.reservations.serviceHeadroom(job, pass.now) + unseen.cpus;
+    const starved = this.starved(job, pass.wallMs);
+    let most = starved ? Math.ceil(job.spec.tasks * STARVED_JOB_SHARE) : Infinity;
+    let candidates: Candidates | null = null;
+    while (pass.starts > 0 && most-- > 0 && job.pending() > 0) {
+      if (!this.usage.allows(job.spec, keepCpus, unseen.gpus)) {
+        this.askTeam(job, pass);
+        return;
+      }
+      candidates ??= this.candidatesFor(job, pass, choosy, likes);
+      const machine = this.startNext(job, candidates, pass);
+      if (!machine) return;
+      // Once arrays have used up the spare ordinary room, the others are chosen without it.
+      if (choosy && !machine.spot && pass.ordinarySpare <= 0) candidates = null;
+    }
   }
 
-  /** A gang that has waited for so long goes first among its likes, and keeps room from others. */
-  private isPatient(job: Job, now: number): boolean {
-    return job.spec.kind === 'gang' && job.held.size === 0 && now - job.startedAt > GANG_PATIENT_MS;
+  /** Jobs of one shape and with the same zones open: where one finds no room, the others don't either. */
+  private likesOf(job: Job, pass: Pass, choosy: boolean): string {
+    // Replicas whose zones are closed must not cost all others their looks, pass after pass: see incident fleet-loss.
+    const team = this.guaranteed.has(job) ? job.spec.team : '';
+    return `${job.key}|${closedZones(job, pass.zones)}|${team}|${choosy}`;
+  }
+
+  private candidatesFor(job: Job, pass: Pass, choosy: boolean, likes: string): Candidates {
+    const all = this.mayStopOthers(job, pass) ? [...pass.roomy, ...pass.full] : pass.roomy;
+    const open = this.reservations.withoutReserved(job, all, pass.now);
+    const machines = choosy && pass.ordinarySpare <= 0 ? open.filter((m) => m.spot) : open;
+    const candidates = new Candidates(job, machines, pass.context);
+    pass.looks -= candidates.looked;
+    this.work.looks += candidates.looked;
+    if (!candidates.any() && job.failedOn.size === 0) pass.noRoom.add(likes);
+    return candidates;
+  }
+
+  /** Places the job's next task; null if no machine takes it. */
+  private startNext(job: Job, candidates: Candidates, pass: Pass): Machine | null {
+    const num = job.next();
+    const choice = num < 0 ? null : candidates.best();
+    if (!choice) return null;
+    const { machine, victims } = choice;
+    for (const victim of victims) this.stop(victim, 0, 'preempted');
+    job.startedAt = pass.now;
+    this.deps.table.hold(machine, job.spec.id, job, num, this.nextAttempt(), pass.now);
+    candidates.placed(machine);
+    if (!machine.spot) pass.ordinarySpare -= job.spec.cpus;
+    this.work.starts++;
+    pass.starts--;
+    return machine;
   }
 
-  /**
-   * All tasks of a gang or none; or what is missing of one that gathers. Room for all is found before anything is
-   * started or stopped. False: there was none; null: it is not to be placed now.
-   */
-  private startGang(
-    job: Job,
-    ctx: ChoiceContext,
-    machines: Machine[],
-    elsewhere: { cpus: number; gpus: number } | undefined,
-    mayStop: boolean,
-    now: number,
-  ): boolean | null {
-    const state = gangState(job);
-    if (state === 'leaving') return null;
-    if (state === 'running') {
-      this.stopAll(job, 'a task of the gang is gone');
-      return null;
-    }
-    const nums = missing(job);
-    const others = nums.length - 1;
-    const { cpus, gpus } = job.spec;
-    const [keepCpus, keepGpus] = [
-      others * cpus + (elsewhere?.cpus ?? 0),
-      others * gpus + (elsewhere?.gpus ?? 0),
-    ];
-    job.notBefore = now + 500;
-    if (!this.quota.allows(job.spec, keepCpus, keepGpus)) {
-      const arrays = this.heldByArrays(job.spec.team);
-      // Once the arrays' tasks have ended it fits: until then no more of them begin.
-      if (
-        this.isPatient(job, now) &&
-        this.quota.allows(job.spec, keepCpus - arrays.cpus, keepGpus - arrays.gpus)
-      )
-        this.limitKept = { job, until: now + KEPT_MS };
-      return null;
-    }
-    const attempt = gangAttempt(job) ?? this.nextAttempt();
-    const allowed = machines.filter((m) => allowedOn(job.spec, m) && !job.failedOn.has(m.idx));
-    for (const group of job.spec.oneZone ? zonesInTurn(job, allowed) : [allowed]) {
-      const room = mayStop ? Infinity : group.reduce((n, m) => n + slots(job, m), 0);
-      if (room < nums.length) continue;
-      const victims = this.holdGang(job, nums, group, ctx, attempt, now);
-      if (!victims) continue;
-      for (const v of victims) this.stop(v, 0, 'preempted');
-      this.work.starts += nums.length;
-      job.startedAt = now;
-      return true;
-    }
-    return false;
-  }
-
-  /** Holds the tasks on machines of the group, and tells what must be stopped for them; null if not all find room. */
-  private holdGang(
-    job: Job,
-    nums: number[],
-    group: Machine[],
-    ctx: ChoiceContext,
-    attempt: number,
-    now: number,
-  ): Entry[] | null {
-    const { table } = this.deps;
-    const candidates = new Candidates(job, group, ctx);
-    const chosen: Entry[] = [];
-    const victims: Entry[] = [];
-    for (const num of nums) {
-      const choice = candidates.best();
-      if (!choice) {
-        for (const e of chosen) table.drop(e, now);
-        return null;
-      }
-      victims.push(...choice.victims);
-      chosen.push(table.hold(choice.machine, job.spec.id, job, num, attempt, now));
-      candidates.placed(choice.machine);
-    }
-    return victims;
+  /** Nothing of it has begun for long: streams of smaller jobs must not keep a large one out for ever. */
+  private starved(job: Job, wallMs: number): boolean {
+    if (job.spec.kind !== 'array' || job.attempts.size > 0 || job.finishedCount > 0) return false;
+    return wallMs - job.at > STARVED_MS;
+  }
+
+  /** Machines that may be given work: those with room for some waiting task, and those without. */
+  private usableMachines(waiting: Job[]): { roomy: Machine[]; full: Machine[] } {
+    const least = waiting.reduce((n, j) => Math.min(n, j.spec.cpus), Infinity) - 1e-6;
+    const roomy: Machine[] = [];
+    const full: Machine[] = [];
+    for (const m of this.deps.table.all()) if (this.usable(m)) (m.freeCpus() >= least ? roomy : full).push(m);
+    return { roomy, full };
   }
 
   /**
    * Until every machine is known, tasks of old jobs may be where we have not looked yet: the most that they
    * can be counts against their team's limit, or a new job could take the team over it.
    */
-  private unseen(): Map<string, { cpus: number; gpus: number }> {
-    const out = new Map<string, { cpus: number; gpus: number }>();
-    if (this.deps.oldJobsOpen()) return out;
-    for (const job of this.deps.book.all()) {
+  private unseen(oldJobsOpen: boolean): Map<string, Resources> {
+    const unseen = new Map<string, Resources>();
+    if (oldJobsOpen) return unseen;
+    for (const job of this.deps.jobs.all()) {
       if (job.fresh) continue;
-      const n = Math.max(0, job.spec.tasks - job.finishedCount - job.held.size);
-      const sum = out.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
-      out.set(job.spec.team, { cpus: sum.cpus + n * job.spec.cpus, gpus: sum.gpus + n * job.spec.gpus });
+      const { team, tasks, cpus, gpus } = job.spec;
+      const hidden = Math.max(0, tasks - job.finishedCount - job.attempts.size);
+      const sum = unseen.get(team) ?? NO_RESOURCES;
+      unseen.set(team, { cpus: sum.cpus + hidden * cpus, gpus: sum.gpus + hidden * gpus });
     }
-    return out;
+    return unseen;
+  }
+
+  /** The job's team is at its limit: less urgent work of its own makes room for a production job. */
+  private askTeam(job: Job, pass: Pass): void {
+    const { team, priority } = job.spec;
+    if (priority === 0 && pass.oldJobsOpen && !pass.askedTeams.has(team)) this.makeTeamRoom(job);
+    pass.askedTeams.add(team);
   }
 
   /** The team's own less urgent work leaves its room under the limit; the start waits until it is surely gone. */
-  private makeQuota(job: Job): void {
+  private makeTeamRoom(job: Job): void {
     let leaving = 0;
-    const victims: Entry[] = [];
-    for (const other of this.deps.book.all()) {
+    const victims: TaskAttempt[] = [];
+    for (const other of this.deps.jobs.all()) {
       if (other.spec.team !== job.spec.team || other.spec.priority <= job.spec.priority) continue;
-      for (const list of other.held.values())
-        for (const e of list) {
-          if (e.stop) leaving += other.spec.cpus;
-          else if (!e.open) victims.push(e);
-        }
+      for (const attempt of [...other.attempts.values()].flat()) {
+        if (attempt.stop) leaving += other.spec.cpus;
+        else if (!attempt.open) victims.push(attempt);
+      }
     }
     victims.sort((a, b) => b.createdAt - a.createdAt);
-    for (const v of victims) {
+    for (const victim of victims) {
       if (leaving >= job.spec.cpus) return;
-      leaving += v.job!.spec.cpus;
-      this.stop(v, 0, 'quota for a more urgent job');
+      leaving += victim.job!.spec.cpus;
+      this.stop(victim, 0, 'quota for a more urgent job');
     }
   }
 
   // Rounds.
 
-  /** DESIGN's placement round: flags slow machines and moves one young task to the machine with most free room. */
+  /** DESIGN's placement round. */
   round(): void {
-    const { world, operator, table } = this.deps;
+    const { world, operator } = this.deps;
     const now = world.clock.now();
     if (now - this.lastRound < operator.round_s * 1000) return;
     this.lastRound = now;
     world.log.info({ ...this.work, unusable: this.unusable() }, 'round');
     this.work = { passes: 0, looks: 0, starts: 0 };
-    let moves = operator.moves_per_round;
-    const slowOnes = slowMachines(this.timings, operator.slowness_ratio, operator.slowness_jobs);
-    for (const m of table.all()) {
-      const slow = slowOnes.has(m.idx);
-      if (slow !== m.slow) world.log.info({ id: m.id, slow }, 'machine speed');
-      m.slow = slow;
-    }
-    for (const m of table.all()) {
-      if (!m.slow || moves <= 0) continue;
-      const e = selectMove(m, (j) => this.usual(j), now);
-      const target = e && this.mostIdle(e.job!);
-      if (!e || !target) continue;
-      if (e.job!.spec.kind === 'gang') {
-        for (const num of e.job!.held.keys()) e.job!.moved.add(num);
-        this.stopGang(e.job!, 'gang moved whole off a slow machine');
-        moves--;
-        continue;
-      }
-      e.job!.moved.add(e.num);
-      // The task starts again once its worker reports it stopped; the slow machine is then scored behind.
-      this.stop(e, e.job!.spec.checkpointS > 0 ? e.job!.spec.saveS : 0, 'moved off a slow machine');
-      moves--;
-    }
-    for (const m of table.all()) if (m.draining === 'notice' || m.draining === 'faulty') this.drain(m, now);
-  }
-
-  private mostIdle(job: Job): Machine | null {
-    let best: Machine | null = null;
-    const zoneOpen = openZones(job);
-    for (const m of this.deps.table.all()) {
-      if (!this.usable(m) || m.slow || !allowedOn(job.spec, m) || (zoneOpen && !zoneOpen(m.zone))) continue;
-      if (m.freeCpus() < job.spec.cpus || m.freeMemory() < job.spec.memoryGb || m.freeGpus() < job.spec.gpus)
-        continue;
-      if (!best || m.freeCpus() > best.freeCpus()) best = m;
-    }
-    return best;
-  }
-
-  /** A task's usual run time, told by its job's other tasks; a gang's are one, so there it is told by its class. */
-  private usual(job: Job): number | null {
-    return job.spec.kind === 'gang' ? this.runTimes.usual(job.spec.cls) : this.timings.usual(job.idx);
-  }
-
-  /** Usual run time left of a task, in milliseconds; null if nothing is known. */
-  private remaining(e: Entry, now: number): number | null {
-    const usual = this.usual(e.job!) ?? this.runTimes.usual(e.job!.spec.cls);
-    if (usual === null || e.state !== 'running' || e.runningSince === 0) return null;
-    return Math.max(0, usual - (now - e.runningSince));
-  }
-
-  /**
-   * The paper's Listing 3: tasks of a machine that goes away are spread over the others in round robin. What
-   * would be done before the machine goes stays; a task is moved only when another machine has room for it.
-   */
-  private drain(m: Machine, now: number): void {
-    if (!m.certain()) return;
-    const left = m.noticeUntil === null ? Infinity : m.noticeUntil - now;
-    let budget = this.deps.operator.drain_moves_per_round;
-    const others = [...this.deps.table.all()].filter((x) => x !== m && this.usable(x));
-    const taken = new Map<Machine, number>();
-    for (const e of [...m.entries.values()]) {
-      if (budget <= 0) return;
-      if (!e.onMachine() || e.stop || e.open || !e.job) continue;
-      const rest = this.remaining(e, now);
-      if (rest !== null && rest < left * 0.8) continue;
-      if (e.job.spec.kind === 'gang') {
-        this.stopGang(e.job, 'drained', left / 1000);
-        budget--;
-        continue;
-      }
-      const target = this.nextInTurn(e.job, others, taken);
-      if (!target) continue;
-      taken.set(target, (taken.get(target) ?? 0) + e.job.spec.cpus);
-      this.stop(e, e.job.spec.checkpointS > 0 ? Math.min(e.job.spec.saveS, left / 1000) : 0, 'drained');
-      budget--;
-    }
-  }
-
-  private nextInTurn(job: Job, others: Machine[], taken: Map<Machine, number>): Machine | null {
-    for (let i = 0; i < others.length; i++) {
-      const m = others[(this.drainNext + i) % others.length]!;
-      if (!allowedOn(job.spec, m) || m.freeCpus() - (taken.get(m) ?? 0) < job.spec.cpus) continue;
-      if (m.freeMemory() < job.spec.memoryGb || m.freeGpus() < job.spec.gpus) continue;
-      this.drainNext = (this.drainNext + i + 1) % others.length;
-      return m;
-    }
-    return null;
+    this.rebalancer.round(now);
   }
 }
--- a/src/placement/quota.ts
+++ b/src/placement/quota.ts
@@ -2,7 +2,7 @@
 import type { JobSpec } from '../wire/model.js';
 
 /** What each team may have on machines, everything counted that may still be there. */
-export class QuotaBook {
+export class TeamUsage {
   private readonly idx = new Map<string, number>();
   private readonly cpus: Float64Array;
   private readonly gpus: Float64Array;
--- a/src/placement/stragglers.ts
+++ b/src/placement/stragglers.ts
@@ -2,8 +2,9 @@
  * The straggler round of DESIGN: the paper (section 5.5, Listing 2) leaves detection open. Workers report no
  * CPU use, so a machine is flagged when tasks of several jobs run longer on it than the same jobs elsewhere.
  */
-import type { Job } from '../jobs/book.js';
-import type { Entry, Machine } from '../workers/table.js';
+import type { Job } from '../jobs/job-table.js';
+import type { Machine } from '../workers/machine.js';
+import type { TaskAttempt } from '../workers/task-attempt.js';
 
 interface Sample {
   machine: number;
@@ -90,16 +91,20 @@
 
 /** A gang moves whole or not at all. */
 function wholeGangYoung(job: Job, usual: number, now: number): boolean {
-  for (const list of job.held.values())
+  for (const list of job.attempts.values())
     for (const e of list)
       if (e.state !== 'running' || e.runningSince === 0 || now - e.runningSince >= usual / 2) return false;
   return true;
 }
 
 /** One task of a slow machine that is worth moving: young, and not moved before. */
-export function selectMove(m: Machine, usualOf: (job: Job) => number | null, now: number): Entry | null {
-  let best: Entry | null = null;
-  for (const e of m.entries.values()) {
+export function selectMove(
+  m: Machine,
+  usualOf: (job: Job) => number | null,
+  now: number,
+): TaskAttempt | null {
+  let best: TaskAttempt | null = null;
+  for (const e of m.attempts.values()) {
     const job: Job | null = e.job;
     if (
       !job ||
--- a/src/settings/platform.ts
+++ b/src/settings/platform.ts
@@ -36,6 +36,10 @@
   reportS: number;
   leaseS: number;
   cancelS: number;
+  /** How long a gang task waits for the others before it gives up. */
+  gangWaitS: number;
+  /** Within this time the tasks of a running gang notice that one of them is gone. */
+  gangPeerS: number;
   stateRps: number;
   stateWriteRps: number;
   valueKb: number;
@@ -82,6 +86,14 @@
   return v;
 }
 
+/** Platforms without gangs may leave these out. */
+const DEFAULT_GANG_WAIT_S = 30;
+const DEFAULT_GANG_PEER_S = 6;
+
+function optional(t: Table, field: string, path: string, missing: number): number {
+  return t[field] === undefined ? missing : number(t, field, path, 0);
+}
+
 const orNoLimit = (n: number): number => (n === 0 ? Infinity : n);
 
 export function readPlatformSettings(source: string): PlatformSettings {
@@ -135,6 +147,8 @@
     reportS: number(workers, 'report_s', 'params.workers.', 0.01),
     leaseS: number(workers, 'lease_s', 'params.workers.', 0.1),
     cancelS: number(workers, 'cancel_s', 'params.workers.', 0.1),
+    gangWaitS: optional(workers, 'gang_wait_s', 'params.workers.', DEFAULT_GANG_WAIT_S),
+    gangPeerS: optional(workers, 'gang_peer_s', 'params.workers.', DEFAULT_GANG_PEER_S),
     stateRps: limit('rps', 1),
     stateWriteRps: limit('write_rps', 1),
     valueKb: limit('value_kb', 0.5),
--- a/src/state-store/client.ts
+++ b/src/state-store/client.ts
@@ -2,13 +2,13 @@
 import {
   type Change,
   type Guard,
-  type News,
+  type WatchEvent,
   type Pair,
   leaseBody,
   paths,
   readFailed,
   readLease,
-  readNews,
+  readWatchEvents,
   readPair,
   readPairs,
   readRevision,
@@ -25,7 +25,7 @@
   | { kind: 'refused' }
   | { kind: 'unknown' };
 export type WatchResult =
-  { kind: 'news'; revision: number; news: News[] } | { kind: 'too-old' } | { kind: 'refused' };
+  { kind: 'news'; revision: number; news: WatchEvent[] } | { kind: 'too-old' } | { kind: 'refused' };
 
 export interface StoreLimits {
   address: string;
@@ -146,7 +146,7 @@
     this.reads.force();
     const r = await this.send('GET', paths.watch(prefix, after, waitMs), null, timeoutMs);
     if (r.status === 410) return { kind: 'too-old' };
-    const n = r.status === 200 ? readNews(r.body) : null;
+    const n = r.status === 200 ? readWatchEvents(r.body) : null;
     return n ? { kind: 'news', ...n } : { kind: 'refused' };
   }
 }
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -9,7 +9,7 @@
   type ListedMachine,
   type ListedState,
   type MachineType,
-  type Order,
+  type WorkerCommand,
   type Priority,
   type TaskReport,
   type TaskState,
@@ -20,8 +20,7 @@
 const KINDS: Record<string, JobKind | undefined> = { array: 'array', daemon: 'service', group: 'gang' };
 const TASK_STATES: Record<string, TaskState> = {
   fetching: 'fetching',
-  // Has its image and waits for the other tasks of its gang.
-  waiting: 'fetching',
+  waiting: 'waiting',
   running: 'running',
   flushing: 'saving',
   ended: 'exited',
@@ -29,15 +28,14 @@
 const CAUSES: Record<string, ExitCause> = {
   done: 'done',
   stopped: 'stopped',
-  // A gang that did not come together, or lost a task.
-  peers: 'stopped',
-  incomplete: 'stopped',
+  peers: 'peer_lost',
+  incomplete: 'incomplete',
   error: 'error',
   no_room: 'no_room',
   busy: 'busy',
   no_such: 'unknown',
 };
-const OPS = { start: 'run', stop: 'stop', forget: 'reap' } as const;
+const COMMAND_WORDS = { start: 'run', stop: 'stop', forget: 'reap' } as const;
 const JOB_ID = /^run-[0-9]{1,18}$/;
 
 export function isJobId(id: string): boolean {
@@ -141,16 +139,16 @@
   };
 }
 
-function writeOrder(o: Order): Body {
-  const base = { order: OPS[o.op], sack: `${o.job}/${o.num}`, try: wide(o.attempt) };
+function writeCommand(o: WorkerCommand): Body {
+  const base = { order: COMMAND_WORDS[o.op], sack: `${o.job}/${o.num}`, try: wide(o.attempt) };
   return o.op === 'stop' ? { ...base, wind_down_s: o.graceS } : base;
 }
 
-export function reportAnswer(token: number, orders: Order[]): Body {
-  return { warrant: wide(token), orders: orders.map(writeOrder) };
+export function reportAnswer(token: number, orders: WorkerCommand[]): Body {
+  return { warrant: wide(token), orders: orders.map(writeCommand) };
 }
 
-export function commandBody(token: number, session: number, orders: Order[]): Body {
+export function commandBody(token: number, session: number, orders: WorkerCommand[]): Body {
   return { ...reportAnswer(token, orders), turning: session };
 }
 
@@ -271,11 +269,11 @@
   return Array.isArray(b.failed) ? b.failed.filter(text) : [];
 }
 
-export type News = { key: string; value: unknown; version: number; gone: boolean };
+export type WatchEvent = { key: string; value: unknown; version: number; gone: boolean };
 
-export function readNews(b: Body): { revision: number; news: News[] } | null {
+export function readWatchEvents(b: Body): { revision: number; news: WatchEvent[] } | null {
   if (!Array.isArray(b.news)) return null;
-  const news: News[] = [];
+  const news: WatchEvent[] = [];
   for (const v of b.news) {
     if (!isMap(v)) continue;
     const gone = typeof v.remove === 'string';
--- a/src/wire/model.ts
+++ b/src/wire/model.ts
@@ -43,8 +43,10 @@
   zones: string[];
 }
 
-export type TaskState = 'fetching' | 'running' | 'saving' | 'exited';
-export type ExitCause = 'done' | 'stopped' | 'error' | 'no_room' | 'busy' | 'unknown';
+export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
+/** peer_lost: the gang lost another task. incomplete: it did not come together in time. */
+export type ExitCause =
+  'done' | 'stopped' | 'peer_lost' | 'incomplete' | 'error' | 'no_room' | 'busy' | 'unknown';
 
 export interface TaskReport {
   job: string;
@@ -67,7 +69,7 @@
   tasks: TaskReport[];
 }
 
-export type Order =
+export type WorkerCommand =
   | { op: 'start'; job: string; num: number; attempt: number }
   | { op: 'stop'; job: string; num: number; attempt: number; graceS: number }
   | { op: 'forget'; job: string; num: number; attempt: number };
--- a/src/workers/orders.ts
+++ b/src/workers/commands.ts
@@ -1,9 +1,11 @@
 import type { World } from '../runtime.js';
-import type { Order, WorkerReport } from '../wire/model.js';
+import type { WorkerCommand, WorkerReport } from '../wire/model.js';
 import { commandBody, paths, readReport } from '../wire/messages.js';
-import type { Entry, Machine, MachineTable } from './table.js';
+import type { Machine } from './machine.js';
+import type { MachineTable } from './machine-table.js';
+import type { TaskAttempt } from './task-attempt.js';
 
-export interface OrderDeps {
+export interface CommandSenderDeps {
   world: World;
   table: MachineTable;
   /** Entitled to act at this very moment? */
@@ -21,7 +23,7 @@
 /** An empty request costs nothing if it is answered late, so that it need not be waited for as long. */
 const PROBE_MS = 900;
 
-function refOf(e: Entry): { job: string; num: number; attempt: number } {
+function refOf(e: TaskAttempt): { job: string; num: number; attempt: number } {
   return { job: e.jobId, num: e.num, attempt: e.attempt };
 }
 
@@ -29,20 +31,20 @@
  * Stops and forgets can be repeated, so they ride on the answers to reports, which costs no request; starts
  * never do. A forget raises the machine's token, and so does not go out while a start is in flight.
  */
-export function answerOrders(m: Machine, table: MachineTable, now: number): Order[] {
-  const out: Order[] = [];
+export function commandsForReport(m: Machine, table: MachineTable, now: number): WorkerCommand[] {
+  const out: WorkerCommand[] = [];
   const forgets = m.inflight ? [] : dueForgets(m, now);
   if (forgets.length > 0) table.raise(m);
   out.push(...forgets);
-  for (const e of m.entries.values())
+  for (const e of m.attempts.values())
     if (e.stop && e.onMachine()) out.push({ op: 'stop', ...refOf(e), graceS: e.stop.graceS });
   return out;
 }
 
 /** Exited tasks whose result is durable, if there was one. */
-function dueForgets(m: Machine, now: number): Order[] {
-  const out: Order[] = [];
-  for (const e of m.entries.values()) {
+function dueForgets(m: Machine, now: number): WorkerCommand[] {
+  const out: WorkerCommand[] = [];
+  for (const e of m.attempts.values()) {
     if (e.state !== 'exited' || e.open || now - e.forgetSentAt < REPEAT_MS) continue;
     if (e.cause === 'done' && e.job && !e.job.isDurable(e.num)) continue;
     e.forgetSentAt = now;
@@ -52,8 +54,8 @@
 }
 
 interface Batch {
-  orders: Order[];
-  starts: Set<Entry>;
+  orders: WorkerCommand[];
+  starts: Set<TaskAttempt>;
   /** Nothing is left to be sent, now or later. */
   settled: boolean;
 }
@@ -64,19 +66,19 @@
  * Orders go straight to the worker, one request at a time per machine. Whatever is not answered raises the
  * machine's token, which ends it; until the machine shows the raised token its starts count as executed.
  */
-export class OrderSender {
+export class CommandSender {
   private inflight = 0;
   /** Of these, to machines that did not answer the last one. */
   private failing = 0;
 
-  constructor(private readonly deps: OrderDeps) {}
+  constructor(private readonly deps: CommandSenderDeps) {}
 
   private collect(m: Machine, now: number): Batch {
-    const stops: Order[] = [];
-    const starts: Order[] = [];
-    const entries = new Set<Entry>();
+    const stops: WorkerCommand[] = [];
+    const starts: WorkerCommand[] = [];
+    const entries = new Set<TaskAttempt>();
     let settled = true;
-    for (const e of m.entries.values()) {
+    for (const e of m.attempts.values()) {
       if (e.state === 'exited') settled = false;
       else if (e.stop && e.sent) {
         settled = false;
@@ -124,7 +126,7 @@
     // could otherwise start it anew: copies have lower tokens.
     const forgets = m.stored ? dueForgets(m, now) : [];
     if (forgets.length > 0) table.raise(m);
-    m.inflight = { entries: starts };
+    m.inflight = { attempts: starts };
     this.inflight++;
     if (failing) this.failing++;
     const session = m.session || 1;
@@ -154,7 +156,7 @@
         }
         if (report && report.machine === m.id) this.deps.report(m, report);
         // What was held meanwhile goes out next.
-        if (m.entries.size > 0) table.mark(m);
+        if (m.attempts.size > 0) table.mark(m);
       });
   }
 }
--- a/src/workers/registry.ts
+++ b/src/workers/machine-records.ts
@@ -2,7 +2,8 @@
 import type { StateStore } from '../state-store/client.js';
 import { isMap } from '../wire/cbor.js';
 import type { Change, Guard, Pair } from '../wire/messages.js';
-import type { Machine, MachineTable } from './table.js';
+import type { Machine } from './machine.js';
+import type { MachineTable } from './machine-table.js';
 
 const PREFIX = 'm/';
 const PAGE = `${PREFIX}page-`;
@@ -37,7 +38,7 @@
   return Object.fromEntries(Object.entries(p.value).filter(([field]) => field !== 'machines'));
 }
 
-export interface RegistryDeps {
+export interface MachineRecordStoreDeps {
   world: World;
   store: StateStore;
   table: MachineTable;
@@ -101,7 +102,7 @@
  * knows all the machines that may hold tasks. Many machines share a record, since changes are scarce: the
  * first hundreds of machines cost a few of them.
  */
-export class MachineRegistry {
+export class MachineRecordStore {
   private busy = false;
   private readonly pages = new Map<string, Page>();
   private readonly pageOf = new Map<string, Page>();
@@ -109,7 +110,7 @@
   private valueBytes: number;
   private most: number;
 
-  constructor(private readonly deps: RegistryDeps) {
+  constructor(private readonly deps: MachineRecordStoreDeps) {
     this.valueBytes = deps.valueBytes;
     this.most = Math.min(PAGES_AT_ONCE, deps.txnOps);
   }
--- /dev/null
+++ b/src/workers/task-attempt.ts
@@ -0,0 +1,63 @@
+/** One attempt of a task on a machine, as the leader tracks it. */
+import type { Job } from '../jobs/job-table.js';
+import type { ExitCause } from '../wire/model.js';
+import type { Machine } from './machine.js';
+
+/**
+ * ordered: a start was decided; it may be in flight. fetching, waiting, running, saving: as reported.
+ * waiting: of a gang only; it has its image and waits for the other tasks. exited: not on the machine any more, but the machine still reports it until it is told to forget.
+ */
+export type AttemptState = 'ordered' | 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
+
+export const ATTEMPT_TRANSITIONS: Record<AttemptState, AttemptState[]> = {
+  ordered: ['fetching', 'waiting', 'running', 'saving', 'exited'],
+  fetching: ['waiting', 'running', 'saving', 'exited'],
+  waiting: ['running', 'saving', 'exited'],
+  running: ['saving', 'exited'],
+  saving: ['exited'],
+  exited: [],
+};
+
+export interface StopRequest {
+  /** Seconds that the task may take to save. */
+  graceS: number;
+  reason: string;
+  /** Of a gathering gang: only this task leaves its machine, and is started again under the same attempt. */
+  replaced: boolean;
+}
+
+/** A task that may be on a machine. */
+export class TaskAttempt {
+  state: AttemptState = 'ordered';
+  cause: ExitCause | null = null;
+  /** The start was sent; it is sent once, never again. */
+  sent = false;
+  /** No answer to the start is known, so it may still be executed; see `fence`. */
+  open = true;
+  /** With this token shown by the machine, an unanswered start can no longer be executed. */
+  fence = 0;
+  /** Set when the task is to go. */
+  stop: StopRequest | null = null;
+  stopSentAt = -Infinity;
+  forgetSentAt = -Infinity;
+  /** Not started by this leader: the machine told of it. */
+  found = false;
+  /** 0: not running yet, or it ran before we knew of it, so that its time is not known. */
+  runningSince = 0;
+  /** Of a waiting gang task: when it was first seen to wait. */
+  waitingSince = 0;
+
+  constructor(
+    readonly machine: Machine,
+    readonly jobId: string,
+    /** Null: the job is not among the live ones. */
+    readonly job: Job | null,
+    readonly num: number,
+    readonly attempt: number,
+    readonly createdAt: number,
+  ) {}
+
+  onMachine(): boolean {
+    return this.state !== 'exited';
+  }
+}
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -15,8 +15,8 @@
 for (const seed of [11, 12, 13])
   test(`controllers crash, one or all, some back within a fraction of a second (${seed})`, async () => {
     const o = await play({ seed }, (c, s) => {
-      if (s % 9 === 3) c.crash(leaderOr(c), c.luck.pick([150, 3000]));
-      if (s === 40) for (const n of c.names) c.crash(n, c.luck.between(100, 4000));
+      if (s % 9 === 3) c.crash(leaderOr(c), c.random.pick([150, 3000]));
+      if (s === 40) for (const n of c.names) c.crash(n, c.random.between(100, 4000));
     });
     expectKept(o);
   });
@@ -34,15 +34,15 @@
 for (const seed of [31, 32, 33, 34])
   test(`cuts: controllers, machines, with held or reset connections (${seed})`, async () => {
     const o = await play({ seed }, (c, s) => {
-      const until = c.clock.time + c.luck.between(3000, 20_000);
-      const mode = c.luck.pick(['hold', 'reset'] as const);
+      const until = c.clock.time + c.random.between(3000, 20_000);
+      const mode = c.random.pick(['hold', 'reset'] as const);
       if (s % 12 === 4) {
         const node = `${c.leader() ?? 'n1'}:80`;
-        const from = c.luck.pick(['w-', 'state', '']);
+        const from = c.random.pick(['w-', 'state', '']);
         c.net.cuts.push({ a: (h) => h === node, b: (h) => h.startsWith(from), until, mode });
       }
       if (s % 8 === 6) {
-        const m = c.luck.pick([...c.cloud.machines.values()]);
+        const m = c.random.pick([...c.cloud.machines.values()]);
         c.net.cuts.push({ a: (h) => h === `w-${m.id}:9000`, b: () => true, until, mode });
       }
     });
@@ -52,11 +52,11 @@
 for (const seed of [41, 42, 43])
   test(`machines die, hang, are taken, fail tasks, are slow (${seed})`, async () => {
     const o = await play({ seed, saveMoney: seed === 42 }, (c, s) => {
-      const m = c.luck.pick([...c.cloud.machines.values()]);
+      const m = c.random.pick([...c.cloud.machines.values()]);
       if (!m?.worker) return;
       if (s % 7 === 2) c.cloud.take(m);
       if (s % 7 === 4)
-        c.net.hosts.get(`w-${m.id}:9000`)!.hangsUntil = c.clock.time + c.luck.between(2000, 12_000);
+        c.net.hosts.get(`w-${m.id}:9000`)!.hangsUntil = c.clock.time + c.random.between(2000, 12_000);
       if (s % 10 === 5 && m.spot) {
         m.worker.noticeUntil = c.clock.time + 6000;
         c.clock.after(6000, () => c.cloud.take(m));
@@ -84,7 +84,7 @@
           a: inZone(c, 'a'),
           b: inZone(c, 'b'),
           until: c.clock.time + (s === 15 ? 9500 : 25_000),
-          mode: c.luck.pick(['hold', 'reset']),
+          mode: c.random.pick(['hold', 'reset']),
         });
     });
     expectKept(o);
@@ -94,16 +94,16 @@
   test(`five controllers, and machines that are heard but hear nothing (${seed})`, async () => {
     const o = await play({ seed, nodes: 5 }, (c, s) => {
       if (s % 15 === 5) {
-        const m = c.luck.pick([...c.cloud.machines.values()]);
+        const m = c.random.pick([...c.cloud.machines.values()]);
         c.net.cuts.push({
           a: () => true,
           b: (h) => h === `w-${m.id}:9000`,
-          until: c.clock.time + c.luck.between(5000, 40_000),
-          mode: c.luck.pick(['hold', 'reset']),
+          until: c.clock.time + c.random.between(5000, 40_000),
+          mode: c.random.pick(['hold', 'reset']),
           oneWay: true,
         });
       }
-      if (s === 30) c.crash(c.leader()!, c.luck.pick([200, 3000]));
+      if (s === 30) c.crash(c.leader()!, c.random.pick([200, 3000]));
     });
     expectKept(o);
   });
@@ -112,9 +112,9 @@
   test(`late copies of reports, to whichever controller, while leaders change (${seed})`, async () => {
     const o = await play({ seed }, (c, s) => {
       copiesTo(c, 0.15);
-      if (s % 14 === 9) c.crash(leaderOr(c), c.luck.pick([150, 3000]));
+      if (s % 14 === 9) c.crash(leaderOr(c), c.random.pick([150, 3000]));
       if (s % 11 === 7) {
-        const m = c.luck.pick([...c.cloud.machines.values()]);
+        const m = c.random.pick([...c.cloud.machines.values()]);
         if (m?.worker) c.cloud.take(m);
       }
     });
@@ -126,12 +126,12 @@
   test(`a controller loses the state service and the others, but keeps its workers (${seed})`, async () => {
     const o = await play({ seed, nodes: 5 }, (c, s) => {
       if (s % 20 !== 8) return;
-      const node = `${s < 40 ? (c.leader() ?? 'n0') : c.luck.pick(c.names)}:80`;
+      const node = `${s < 40 ? (c.leader() ?? 'n0') : c.random.pick(c.names)}:80`;
       c.net.cuts.push({
         a: (h) => h === node,
         b: (h) => h === 'state:1' || c.names.some((n) => h === `${n}:80`),
-        until: c.clock.time + c.luck.between(4000, 30_000),
-        mode: c.luck.pick(['hold', 'reset']),
+        until: c.clock.time + c.random.between(4000, 30_000),
+        mode: c.random.pick(['hold', 'reset']),
       });
     });
     expectKept(o);
@@ -140,40 +140,40 @@
 for (const seed of [101, 102])
   test(`a zone cut from everything, peers that refuse each other, two of five crash (${seed})`, async () => {
     const o = await play({ seed, nodes: 5, ordinaryUp: 8 }, (c, s) => {
-      const until = c.clock.time + c.luck.between(8000, 25_000);
-      const mode = c.luck.pick(['hold', 'reset'] as const);
+      const until = c.clock.time + c.random.between(8000, 25_000);
+      const mode = c.random.pick(['hold', 'reset'] as const);
       const isNode = (h: string): boolean => c.names.some((n) => h === `${n}:80`);
-      const inside = inZone(c, c.luck.pick(['a', 'b']));
+      const inside = inZone(c, c.random.pick(['a', 'b']));
       if (s === 8) c.net.cuts.push({ a: isNode, b: isNode, until, mode: 'reset' });
       if (s === 25) c.net.cuts.push({ a: inside, b: (h) => !inside(h), until, mode });
-      if (s === 50) for (const n of [c.leader() ?? 'n0', 'n4']) c.crash(n, c.luck.pick([200, 3000]));
+      if (s === 50) for (const n of [c.leader() ?? 'n0', 'n4']) c.crash(n, c.random.pick([200, 3000]));
     });
     expectKept(o);
   });
 
 /** Crashes, outages, refusals, cuts, hangs and losses on top of each other. */
 function chaos(c: Cluster, s: number): void {
-  const luck = c.luck;
-  const until = c.clock.time + luck.between(1000, 15_000);
-  if (luck.chance(0.06)) c.crash(luck.pick(c.names), luck.pick([100, 3000]));
-  if (luck.chance(0.03)) c.state.outage(luck.between(1000, 8000));
-  if (luck.chance(0.03)) c.cloud.downUntil = until;
-  if (luck.chance(0.1)) {
+  const random = c.random;
+  const until = c.clock.time + random.between(1000, 15_000);
+  if (random.chance(0.06)) c.crash(random.pick(c.names), random.pick([100, 3000]));
+  if (random.chance(0.03)) c.state.outage(random.between(1000, 8000));
+  if (random.chance(0.03)) c.cloud.downUntil = until;
+  if (random.chance(0.1)) {
     const hosts = [...c.net.hosts.keys()];
-    const h = luck.pick(hosts);
-    const other = luck.pick(hosts);
-    const all = luck.chance(0.5);
+    const h = random.pick(hosts);
+    const other = random.pick(hosts);
+    const all = random.chance(0.5);
     c.net.cuts.push({
       a: (x) => x === h,
       b: (x) => all || x === other,
       until,
-      mode: luck.pick(['hold', 'reset']),
+      mode: random.pick(['hold', 'reset']),
     });
   }
-  const m = luck.pick([...c.cloud.machines.values()]);
-  if (m?.worker && luck.chance(0.08)) c.cloud.take(m);
-  if (m?.worker && luck.chance(0.08)) c.net.hosts.get(`w-${m.id}:9000`)!.hangsUntil = until;
-  if (s % 20 === 0) c.state.refuse(`${luck.pick(c.names)}:80`, luck.between(2000, 8000));
+  const m = random.pick([...c.cloud.machines.values()]);
+  if (m?.worker && random.chance(0.08)) c.cloud.take(m);
+  if (m?.worker && random.chance(0.08)) c.net.hosts.get(`w-${m.id}:9000`)!.hangsUntil = until;
+  if (s % 20 === 0) c.state.refuse(`${random.pick(c.names)}:80`, random.between(2000, 8000));
 }
 
 // 1138, 1175 and 1215 once broke a quota: see Placement.unseen.
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -7,7 +7,8 @@
 import type { Body } from '../src/wire/cbor.js';
 import { defaultOperatorSettings } from '../src/settings/operator.js';
 import type { MachineType, WorkerReport } from '../src/wire/model.js';
-import { type Machine, MachineTable } from '../src/workers/table.js';
+import { type Machine } from '../src/workers/machine.js';
+import { MachineTable } from '../src/workers/machine-table.js';
 
 const TYPE: MachineType = {
   name: 't',
@@ -51,7 +52,7 @@
       random: () => 0.5,
     };
     const none = (): undefined => undefined;
-    this.table = new MachineTable(100, LEASE_S * 1000, none, { held: none, left: none });
+    this.table = new MachineTable(100, LEASE_S * 1000, none, { attemptAdded: none, attemptGone: none });
     this.fleet = new Fleet({
       world,
       cloud: new Cloud(world, 'cloud:1', 50),
@@ -283,8 +284,8 @@
     noticeS: null,
   };
   b.table.apply(m, { ...r, seq: 1, tasks: [{ ...task, state: 'running' }] }, 1000);
-  assert.equal([...m.entries.values()][0]!.runningSince, 0);
+  assert.equal([...m.attempts.values()][0]!.runningSince, 0);
   b.table.apply(m, { ...r, seq: 2, tasks: [{ ...task, num: 1, state: 'fetching' }] }, 2000);
   b.table.apply(m, { ...r, seq: 3, tasks: [{ ...task, num: 1, state: 'running' }] }, 3000);
-  assert.equal([...m.entries.values()][0]!.runningSince, 3000);
+  assert.equal([...m.attempts.values()][0]!.runningSince, 3000);
 });
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -35,7 +35,7 @@
   const jobs = [1, 2, 3, 8, 16].map((sacks) => submit(c, { ...GANG, sacks, image_gb: 1 }));
   await c.run(40);
   for (const j of jobs) assert.notEqual(j.toldDoneAt, null, `${j.spec.sacks as number} tasks`);
-  assert.equal(c.hall.begun, jobs.length);
+  assert.equal(c.gangs.begun, jobs.length);
   assert.deepEqual(c.rules.broken, []);
 });
 
@@ -43,12 +43,12 @@
   const c = await quiet({ seed: 2 });
   // Nobody knows the image yet, so that they gather for a while; in two zones, on machines of their own.
   const job = submit(c, { ...GANG, one_zone: false, sacks: 10, vcpus: 8, seed: 'img-9' });
-  await until(c, () => machinesOf(c, job).length > 1 && c.hall.begun === 0, 10);
+  await until(c, () => machinesOf(c, job).length > 1 && c.gangs.begun === 0, 10);
   c.cloud.take(c.cloud.machines.get(machinesOf(c, job)[0]!)!);
   await c.run(40);
-  assert.ok(c.hall.replaced > 0);
-  assert.equal(c.hall.begun, 1);
-  assert.equal(c.hall.attempts(), 1, 'the first start came about');
+  assert.ok(c.gangs.replaced > 0);
+  assert.equal(c.gangs.begun, 1);
+  assert.equal(c.gangs.attempts(), 1, 'the first start came about');
   assert.notEqual(job.toldDoneAt, null);
   assert.deepEqual(c.rules.broken, []);
 });
@@ -56,12 +56,12 @@
 test('a task lost while the gang runs: it starts again whole, from the saved progress', async () => {
   const c = await quiet({ seed: 3 });
   const job = submit(c, { ...GANG, sacks: 6, vcpus: 8 });
-  await until(c, () => c.hall.begun === 1, 15);
+  await until(c, () => c.gangs.begun === 1, 15);
   await c.run(4.5);
   c.cloud.take(c.cloud.machines.get(machinesOf(c, job)[0]!)!);
   await c.run(40);
-  assert.equal(c.hall.begun, 2);
-  assert.deepEqual([c.hall.attempts(), c.hall.incomplete], [2, 0], 'nothing was added to what was leaving');
+  assert.equal(c.gangs.begun, 2);
+  assert.deepEqual([c.gangs.attempts(), c.gangs.incomplete], [2, 0], 'nothing was added to what was leaving');
   assert.ok(job.progressMs >= 4000, `${job.progressMs}`);
   assert.notEqual(job.toldDoneAt, null);
   assert.deepEqual(c.rules.broken, []);
@@ -70,14 +70,14 @@
 test('one task is done, so all are: a machine that goes before it could say so changes nothing', async () => {
   const c = await quiet({ seed: 7 });
   const job = submit(c, { ...GANG, sacks: 6, vcpus: 8 });
-  await until(c, () => c.hall.begun === 1, 15);
+  await until(c, () => c.gangs.begun === 1, 15);
   const [mute] = machinesOf(c, job);
   await c.run(5);
   c.net.cuts.push({ a: (h) => h === `w-${mute!}:9000`, b: () => true, until: Infinity, mode: 'hold' });
   await until(c, () => job.finished.size === 6, 5);
   c.cloud.take(c.cloud.machines.get(mute!)!);
   await c.run(30);
-  assert.equal(c.hall.begun, 1);
+  assert.equal(c.gangs.begun, 1);
   assert.notEqual(job.toldDoneAt, null);
   assert.deepEqual(c.rules.broken, []);
 });
@@ -85,27 +85,64 @@
 test('a notice stops the gang in order: all are told, and nothing is lost', async () => {
   const c = await quiet({ seed: 4 });
   const job = submit(c, { ...GANG, sacks: 6, vcpus: 8, grind_s: 20, bin_every_s: 19 });
-  await until(c, () => c.hall.begun === 1, 15);
+  await until(c, () => c.gangs.begun === 1, 15);
   await c.run(5);
   c.cloud.machines.get(machinesOf(c, job)[0]!)!.worker!.noticeUntil = c.clock.time + 8000;
   await c.run(4);
   assert.ok(job.progressMs > 4000, `${job.progressMs} ms are safe, between two checkpoints`);
   await c.run(40);
-  assert.equal(c.hall.begun, 2);
+  assert.equal(c.gangs.begun, 2);
   assert.notEqual(job.toldDoneAt, null);
   assert.deepEqual(c.rules.broken, []);
 });
 
+test('a notice while the gang gathers: only the task there is replaced, and the others go on waiting', async () => {
+  const c = await quiet({ seed: 14 });
+  const job = submit(c, { ...GANG, one_zone: false, sacks: 10, vcpus: 8, seed: 'img-9' });
+  await until(c, () => machinesOf(c, job).length > 1 && c.gangs.begun === 0, 10);
+  const leaving = c.cloud.machines.get(machinesOf(c, job)[0]!)!;
+  leaving.worker!.noticeUntil = c.clock.time + 6000;
+  c.clock.after(6000, () => c.cloud.take(leaving));
+  await c.run(40);
+  assert.ok(c.gangs.replaced > 0);
+  assert.deepEqual([c.gangs.attempts(), c.gangs.begun, c.gangs.incomplete], [1, 1, 0]);
+  assert.notEqual(job.toldDoneAt, null);
+  assert.deepEqual(c.rules.broken, []);
+});
+
+test('a gang whose images take longer than its tasks wait for each other begins all the same', async () => {
+  const c = await quiet({ seed: 15 });
+  // Each machine fetches the image for 6 to 48 s, and a task waits for 6 s: a fetch that is given up is lost.
+  const job = submit(c, { ...GANG, one_zone: false, sacks: 10, vcpus: 8, seed: 'img-9', image_gb: 12 });
+  await c.run(90);
+  assert.ok(c.gangs.incomplete > 0, 'the first attempt did not come together');
+  assert.equal(c.gangs.begun, 1);
+  assert.notEqual(job.toldDoneAt, null);
+  assert.deepEqual(c.rules.broken, []);
+});
+
+test('a gang that gathers and finds no room for a missing task leaves its room to others at once', async () => {
+  const c = await quiet({ seed: 18, capacity: 0, ordinaryUp: 2, teamLimit: 1000 });
+  // Fetches of up to two minutes: by themselves the tasks that are left would stay for long.
+  const job = submit(c, { ...GANG, one_zone: false, sacks: 4, vcpus: 8, seed: 'img-9', image_gb: 30 });
+  await until(c, () => machinesOf(c, job).length > 0, 120);
+  c.cloud.take(c.cloud.machines.get(machinesOf(c, job)[0]!)!);
+  const other = submit(c, { ...BATCH, sacks: 2, vcpus: 8, grind_s: 2 });
+  await until(c, () => other.firstStartAt !== null, 12);
+  assert.equal(c.gangs.begun, 0);
+  assert.deepEqual(c.rules.broken, []);
+});
+
 test('a large gang begins although smaller work keeps coming', async () => {
   const c = await quiet({ seed: 5, capacity: 1, ordinaryUp: 2, teamLimit: 1000 });
   for (let i = 0; i < 20; i++) submit(c, { ...BATCH, sacks: 8, grind_s: 4 });
   await c.run(8);
   const job = submit(c, { ...GANG, sacks: 8, precedence: 'normal' });
-  for (let s = 0; s < 50 && c.hall.begun === 0; s++) {
+  for (let s = 0; s < 50 && c.gangs.begun === 0; s++) {
     submit(c, { ...BATCH, sacks: 8, grind_s: 4 });
     await c.run(1);
   }
-  assert.equal(c.hall.begun, 1);
+  assert.equal(c.gangs.begun, 1);
   assert.ok((job.firstStartAt ?? Infinity) - job.submittedAt < 45_000);
   assert.deepEqual(c.rules.broken, []);
 });
@@ -116,11 +153,11 @@
   for (let i = 0; i < 6; i++) stream();
   await c.run(8);
   const job = submit(c, { ...GANG, miller: 't0', sacks: 10 });
-  for (let s = 0; s < 45 && c.hall.begun === 0; s++) {
+  for (let s = 0; s < 45 && c.gangs.begun === 0; s++) {
     stream();
     await c.run(1);
   }
-  assert.equal(c.hall.begun, 1);
+  assert.equal(c.gangs.begun, 1);
   assert.notEqual(job.firstStartAt, null);
   assert.deepEqual(c.rules.broken, []);
 });
@@ -133,7 +170,7 @@
   await c.run(15);
   const array = submit(c, { ...BATCH, miller: 't0', sacks: 4, grind_s: 2 });
   await c.run(60);
-  assert.equal(c.hall.begun, 0);
+  assert.equal(c.gangs.begun, 0);
   assert.notEqual(array.toldDoneAt, null);
   assert.deepEqual(c.rules.broken, []);
 });
@@ -147,7 +184,7 @@
   await c.run(15);
   const array = submit(c, { ...BATCH, miller: 't0', sacks: 2, grind_s: 2 });
   await c.run(85);
-  assert.equal(c.hall.begun, 0, 'the gang still waits');
+  assert.equal(c.gangs.begun, 0, 'the gang still waits');
   assert.notEqual(array.firstStartAt, null);
   assert.deepEqual(c.rules.broken, []);
 });
@@ -157,8 +194,8 @@
   const jobs = Array.from({ length: 8 }, () => submit(c, { ...GANG, sacks: 4, vcpus: 3, grind_s: 3 }));
   await c.run(110);
   for (const j of jobs) assert.notEqual(j.toldDoneAt, null, j.spec.id as string);
-  assert.equal(c.hall.begun, jobs.length);
-  assert.deepEqual([c.hall.attempts(), c.hall.incomplete, c.hall.replaced], [jobs.length, 0, 0]);
+  assert.equal(c.gangs.begun, jobs.length);
+  assert.deepEqual([c.gangs.attempts(), c.gangs.incomplete, c.gangs.replaced], [jobs.length, 0, 0]);
   assert.deepEqual(c.rules.broken, []);
 });
 
@@ -170,7 +207,7 @@
   const job = submit(c, { ...GANG, sacks: 12, seed: 'img-1' });
   await c.run(30);
   assert.notEqual(job.toldDoneAt, null);
-  assert.equal(c.hall.attempts(), 1);
+  assert.equal(c.gangs.attempts(), 1);
   assert.deepEqual(c.rules.broken, []);
 });
 
@@ -200,17 +237,20 @@
     test(`gangs: ${name} (${seed})`, async () => {
       const o = await play({ ordinaryUp: 8, nodes: 5, ...config, seed }, (c, s) => {
         const over = {
-          sacks: c.luck.int(2, 6),
-          one_zone: c.luck.chance(0.7),
-          loaned_stones: c.luck.chance(0.4),
+          sacks: c.random.int(2, 6),
+          one_zone: c.random.chance(0.7),
+          loaned_stones: c.random.chance(0.4),
         };
         if (s % 3 === 0)
-          void c.user(c.jobBody({ ...GANG, ...over }), c.luck.chance(0.2) ? c.luck.between(0, 12_000) : null);
+          void c.user(
+            c.jobBody({ ...GANG, ...over }),
+            c.random.chance(0.2) ? c.random.between(0, 12_000) : null,
+          );
         troubles(c, s);
       });
       o.cluster.net.copies = null;
       expectKept(o);
-      assert.ok(o.cluster.hall.begun > 10, `${o.cluster.hall.begun} began`);
+      assert.ok(o.cluster.gangs.begun > 10, `${o.cluster.gangs.begun} began`);
       for (const [id, j] of o.cluster.rules.jobs)
         if (j.spec.grind === 'group' && j.toldAccepted && !j.cancelAsked)
           assert.notEqual(j.toldDoneAt, null, id);
@@ -218,14 +258,14 @@
 }
 
 gangDay('leaders crash and change', [11, 12, 13], (c, s) => {
-  if (s % 9 === 4) c.crash(leaderOr(c), c.luck.pick([150, 3000]));
-  if (s === 40) for (const n of c.names) c.crash(n, c.luck.between(100, 4000));
+  if (s % 9 === 4) c.crash(leaderOr(c), c.random.pick([150, 3000]));
+  if (s === 40) for (const n of c.names) c.crash(n, c.random.between(100, 4000));
 });
 
 gangDay('machines hang, die and are taken', [21, 22, 23], (c, s) => {
-  const m = c.luck.pick([...c.cloud.machines.values()]);
+  const m = c.random.pick([...c.cloud.machines.values()]);
   if (!m?.worker) return;
-  if (s % 6 === 2) c.hang(m.id, c.luck.between(1000, 11_000));
+  if (s % 6 === 2) c.hang(m.id, c.random.between(1000, 11_000));
   if (s % 8 === 5) c.cloud.take(m);
   if (s % 10 === 7 && m.spot) {
     m.worker.noticeUntil = c.clock.time + 6000;
@@ -235,9 +275,9 @@
 });
 
 gangDay('cuts, refusals and outages', [31, 32, 33], (c, s) => {
-  const until = c.clock.time + c.luck.between(2000, 14_000);
-  const m = c.luck.pick([...c.cloud.machines.values()]);
-  const mode = c.luck.pick(['hold', 'reset'] as const);
+  const until = c.clock.time + c.random.between(2000, 14_000);
+  const m = c.random.pick([...c.cloud.machines.values()]);
+  const mode = c.random.pick(['hold', 'reset'] as const);
   if (s % 10 === 4) c.net.cuts.push({ a: (h) => h === `w-${m.id}:9000`, b: () => true, until, mode });
   if (s === 15) c.state.refuse(`${c.leader() ?? 'n0'}:80`, 9000);
   if (s === 30) c.state.outage(LEASE_MS + 4000);
@@ -249,7 +289,7 @@
   copiesTo(c, 0.15);
   c.state.lateWrites = { share: 0.1, until: c.clock.time + 1000 };
   if (s % 9 === 2) {
-    c.holdCommands(someMachines(c, 0.3), c.luck.between(1000, 5000));
+    c.holdCommands(someMachines(c, 0.3), c.random.between(1000, 5000));
   }
   if (s % 20 === 12) c.crash(c.leader() ?? 'n2', 150);
 });
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -151,7 +151,7 @@
   for (const seed of seeds)
     test(`${name} (${seed})`, async () => {
       const o = await play({ ordinaryUp: 8, nodes: 5, ...config, seed }, (c, s) => {
-        if (s % 6 === 3) void c.user(c.jobBody({ ...GANG, sacks: c.luck.int(2, 5) }), null);
+        if (s % 6 === 3) void c.user(c.jobBody({ ...GANG, sacks: c.random.int(2, 5) }), null);
         troubles(c, s);
       });
       o.cluster.net.copies = null;
@@ -166,7 +166,7 @@
 });
 
 meeting('leaders change every few seconds, also inside an outage', [111, 112], (c, s) => {
-  if (s % 5 === 2) c.crash(leaderOr(c), c.luck.pick([150, 2000]));
+  if (s % 5 === 2) c.crash(leaderOr(c), c.random.pick([150, 2000]));
   if (s === 20) c.state.outage(12_000);
   if (s % 15 === 12) c.cancelNow(2, 4000);
 });
@@ -183,8 +183,8 @@
 );
 
 meeting('all controllers are away for longer than a lease', [131, 132], (c, s) => {
-  if (s === 12) for (const n of c.names) c.freeze(n, LEASE_MS + c.luck.between(1000, 4000));
-  if (s === 40) for (const n of c.names) c.crash(n, LEASE_MS + c.luck.between(1000, 4000));
+  if (s === 12) for (const n of c.names) c.freeze(n, LEASE_MS + c.random.between(1000, 4000));
+  if (s === 40) for (const n of c.names) c.crash(n, LEASE_MS + c.random.between(1000, 4000));
   if (s === 11 || s === 39) c.cancelNow(3, 3000);
 });
 
@@ -201,7 +201,7 @@
   (c, s) => {
     c.net.slow = s < 50 ? 20 : 1;
     if (s % 3 === 0 && s < 30) void c.user(c.jobBody({ ...BATCH, sacks: 20, grind_s: 4 }), null);
-    if (s % 10 === 5) void c.user(c.jobBody(DESK), c.luck.between(5000, 15_000));
+    if (s % 10 === 5) void c.user(c.jobBody(DESK), c.random.between(5000, 15_000));
     if (s === 25) c.crash(leaderOr(c), 150);
   },
   { capacity: 3, ordinaryUp: 4, teamLimit: 40 },
@@ -230,12 +230,12 @@
 
 meeting('transactions without an answer are carried out late, after newer ones', [181, 182, 183], (c, s) => {
   c.state.lateWrites = { share: 0.15, until: c.clock.time + 1000 };
-  if (s % 18 === 9) c.crash(leaderOr(c), c.luck.pick([150, 3000]));
+  if (s % 18 === 9) c.crash(leaderOr(c), c.random.pick([150, 3000]));
   if (s % 12 === 7) c.cancelNow(2, 2000);
 });
 
 meeting('commands are held up for seconds, machines stand still and go on', [191, 192, 193], (c, s) => {
-  if (s % 6 === 2) c.holdCommands(someMachines(c, 0.4), c.luck.between(1000, 6000));
+  if (s % 6 === 2) c.holdCommands(someMachines(c, 0.4), c.random.between(1000, 6000));
   if (s % 7 === 5) hangSome(c, 0.2, 5000);
   if (s % 10 === 4) c.cancelNow(2, 0);
   if (s === 33) c.crash(leaderOr(c), 150);
@@ -243,7 +243,7 @@
 
 meeting('a leader ends while machines can not be reached, or do not hear the new one', [201, 202], (c, s) => {
   const host = c.hostsOf(someMachines(c, 0.3));
-  const until = c.clock.time + c.luck.between(6000, 14_000);
+  const until = c.clock.time + c.random.between(6000, 14_000);
   if (s === 10) c.net.cuts.push({ a: host, b: () => true, until, mode: 'hold' });
   if (s === 36) c.net.cuts.push({ a: () => true, b: host, until, mode: 'hold', oneWay: true });
   if (s === 11 || s === 37) c.crash(leaderOr(c), 3000);
@@ -254,13 +254,13 @@
   const lone = c.names[0]!;
   if (s === 8 || s === 14) c.mute(() => true, 4500);
   if (s === 24) for (const n of c.names) c.crash(n, n === lone ? 150 : 15_000);
-  if (s === 48) for (const n of c.names) c.crash(n, n === lone ? 800 : c.luck.between(2000, 6000));
+  if (s === 48) for (const n of c.names) c.crash(n, n === lone ? 800 : c.random.between(2000, 6000));
   if (s === 23 || s === 47) c.cancelNow(2, 2000);
 });
 
 meeting('jobs of one zone lose machines', [221, 222], (c, s) => {
   const array = { ...BATCH, one_zone: true, sacks: 6, grind_s: 6 };
-  if (s % 6 === 1) void c.user(c.jobBody({ ...array, yard: c.luck.pick(['a', 'b', null]) }), null);
+  if (s % 6 === 1) void c.user(c.jobBody({ ...array, yard: c.random.pick(['a', 'b', null]) }), null);
   if (s % 9 === 4) {
     const m = [...c.cloud.machines.values()].find((x) =>
       [...c.rules.on.values()].some((p) => p[0]!.machine === x.id),
@@ -302,9 +302,9 @@
     c.slowNext = 8;
     c.cloud.add('t16', 'a', false, true);
     for (let i = 0; i < 12; i++)
-      void c.user(c.jobBody({ ...BATCH, sacks: c.luck.int(2, 3), grind_s: 3 }), null);
+      void c.user(c.jobBody({ ...BATCH, sacks: c.random.int(2, 3), grind_s: 3 }), null);
     for (let s = 0; s < 40; s++) {
-      if (s % 6 === 4) c.crash(leaderOr(c), c.luck.pick([150, 3000]));
+      if (s % 6 === 4) c.crash(leaderOr(c), c.random.pick([150, 3000]));
       if (s === 9 || s === 21) copiesTo(c, 0.3);
       await c.run(1);
     }
@@ -318,16 +318,16 @@
   const c = await serving({ seed: 261 }, 1);
   const outcomes = new Map<string, number>();
   for (let i = 0; i < 60; i++) {
-    const body = c.jobBody({ ...BATCH, sacks: c.luck.int(1, 3), grind_s: 1, image_gb: 0 });
+    const body = c.jobBody({ ...BATCH, sacks: c.random.int(1, 3), grind_s: 1, image_gb: 0 });
     const id = body.id as string;
     void c.user(body, null);
     await c.run(0.2);
     const job = c.rules.jobs.get(id)!;
     for (let t = 0; t < 400 && job.finished.size < (body.sacks as number); t++) await c.run(0.02);
-    c.clock.after(c.luck.between(0, 250), () => void c.cancel(id));
+    c.clock.after(c.random.between(0, 250), () => void c.cancel(id));
     for (let k = 0; k < 4; k++) {
-      c.clock.after(c.luck.between(0, 400), () => void c.question(id));
-      c.clock.after(c.luck.between(0, 400), () => void c.repeat(id));
+      c.clock.after(c.random.between(0, 400), () => void c.question(id));
+      c.clock.after(c.random.between(0, 400), () => void c.repeat(id));
     }
     await c.run(1);
     const how = job.toldDoneAt !== null ? 'done' : job.toldCancelledAt !== null ? 'cancelled' : 'unknown';
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { Job, JobBook } from '../src/jobs/book.js';
+import { Job, JobTable } from '../src/jobs/job-table.js';
 import { Placement } from '../src/placement/placement.js';
 import { defaultOperatorSettings } from '../src/settings/operator.js';
 import type { PlatformSettings } from '../src/settings/platform.js';
-import { MachineTable } from '../src/workers/table.js';
+import { MachineTable } from '../src/workers/machine-table.js';
 import { CHUNK, packFinished, unpackFinished } from '../src/jobs/records.js';
 import { planRentals, type Pool } from '../src/fleet/plan.js';
 import { Timings, slowMachines } from '../src/placement/stragglers.js';
@@ -135,11 +135,11 @@
     bootS: 20,
     zones: ['a', 'b'],
   };
-  const book = new JobBook();
+  const jobs = new JobTable();
   const quiet = { info: () => undefined, debug: () => undefined, error: () => undefined };
-  const table: MachineTable = new MachineTable(100, 10_000, (id) => book.get(id), {
-    held: (e) => placement.held(e),
-    left: (e) => placement.left(e),
+  const table: MachineTable = new MachineTable(100, 10_000, (id) => jobs.get(id), {
+    attemptAdded: (e) => placement.attemptAdded(e),
+    attemptGone: (e) => placement.attemptGone(e),
   });
   const placement: Placement = new Placement({
     world: {
@@ -153,7 +153,7 @@
       objectives: [],
     } as Partial<PlatformSettings> as PlatformSettings,
     operator: defaultOperatorSettings(),
-    book,
+    jobs,
     table,
     attemptBase: 0,
     oldJobsOpen: () => true,
@@ -166,14 +166,14 @@
   }
   const services = Array.from({ length: 300 }, (_, i) => {
     const s = spec({ id: `run-${i}`, kind: 'service', priority: 0, tasks: 2, spread: true, spot: false });
-    return book.add(s, 1, 0, true, 0);
+    return jobs.add(s, 1, 0, true, 0);
   });
   for (let i = 0; i < 20; i++) placement.pass();
   assert.ok(
-    services.every((j) => j.held.size === 1),
+    services.every((j) => j.attempts.size === 1),
     'the first of each has its place in the only zone',
   );
-  const array = book.add(spec({ id: 'run-999' }), 1, 0, true, 0);
+  const array = jobs.add(spec({ id: 'run-999' }), 1, 0, true, 0);
   placement.pass();
-  assert.equal(array.held.size, 10);
+  assert.equal(array.attempts.size, 10);
 });
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -10,7 +10,7 @@
       grind: 'daemon',
       grist: 'desk',
       precedence: 'production',
-      sacks: c.luck.pick([2, 4, 16]),
+      sacks: c.random.pick([2, 4, 16]),
       vcpus: 4,
       scatter: true,
       one_zone: false,
@@ -27,11 +27,11 @@
       grind: 'array',
       grist: 'batch',
       precedence: 'normal',
-      sacks: c.luck.int(20, 160),
+      sacks: c.random.int(20, 160),
       scatter: false,
       one_zone: false,
       loaned_stones: true,
-      grind_s: c.luck.between(8, 30),
+      grind_s: c.random.between(8, 30),
       due_s: null,
     }),
     null,
@@ -61,7 +61,7 @@
     for (let i = 0; i < (s < 10 ? 3 : 1); i++, submitted++) batch(c);
     if (s === 25) for (const n of c.names.slice(0, 2)) c.crash(n, 3000);
     if (s === 35)
-      for (const m of [...c.cloud.machines.values()]) if (m.spot && c.luck.chance(0.4)) c.cloud.take(m);
+      for (const m of [...c.cloud.machines.values()]) if (m.spot && c.random.chance(0.4)) c.cloud.take(m);
     if (s === 45) c.crash(c.leader()!, 200);
     await c.run(1);
   }
@@ -97,7 +97,7 @@
   });
   const some = (n: number): CloudMachine[] => {
     const up = [...c.cloud.machines.values()].filter((m) => m.worker !== null);
-    return Array.from({ length: n }, () => c.luck.pick(up));
+    return Array.from({ length: n }, () => c.random.pick(up));
   };
   const hang = (n: number, ms: number): void => {
     for (const m of some(n)) c.net.hosts.get(`w-${m.id}:9000`)!.hangsUntil = c.clock.time + ms;
@@ -118,7 +118,7 @@
     if (s === 30) c.freeze(c.leader()!, 14_000);
     if (s === 42) hang(60, 22_000);
     if (s === 50) c.state.outage(5000);
-    if (s === 52) for (const n of c.names) c.crash(n, c.luck.pick([200, 4000]));
+    if (s === 52) for (const n of c.names) c.crash(n, c.random.pick([200, 4000]));
     await c.run(1);
   }
   c.quietFrom = c.clock.time + 20_000;
--- a/test/sim/cloud.ts
+++ b/test/sim/cloud.ts
@@ -1,7 +1,7 @@
 import type { Reply } from '../../src/runtime.js';
 import { type Body, narrow } from '../../src/wire/cbor.js';
 import type { VirtualClock } from './clock.js';
-import type { Luck } from './random.js';
+import type { SeededRandom } from './random.js';
 import type { Worker } from './worker.js';
 
 export interface CloudMachine {
@@ -38,7 +38,7 @@
 
   constructor(
     private readonly clock: VirtualClock,
-    private readonly luck: Luck,
+    private readonly random: SeededRandom,
     private readonly capacity: Map<string, number>,
     private readonly boot: (m: CloudMachine) => Worker,
   ) {
@@ -62,7 +62,7 @@
 
   add(type: string, zone: string, spot: boolean, up: boolean): CloudMachine {
     const id = `i-${String(this.next++).padStart(6, '0')}`;
-    const bootMs = up ? 0 : this.luck.chance(0.03) ? Infinity : this.luck.between(2500, 9000);
+    const bootMs = up ? 0 : this.random.chance(0.03) ? Infinity : this.random.between(2500, 9000);
     const m: CloudMachine = {
       id,
       type,
@@ -102,7 +102,7 @@
       return { status: 200, body: {} };
     }
     if (path.startsWith('/machines?')) {
-      const lag = this.luck.between(1000, 4000);
+      const lag = this.random.between(1000, 4000);
       const at = this.clock.time - lag;
       const s = [...this.snapshots].reverse().find((x) => x.at <= at);
       return { status: 200, body: { stones: s?.list ?? [], truncated: false } };
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -6,9 +6,9 @@
 import type { Body } from '../../src/wire/cbor.js';
 import { CloudService, type CloudMachine } from './cloud.js';
 import { VirtualClock } from './clock.js';
-import { GangHall } from './gangs.js';
+import { GANG_PEER_MS, GANG_WAIT_MS, GangCoordinator } from './gang-coordinator.js';
 import { Network } from './network.js';
-import { Luck } from './random.js';
+import { SeededRandom } from './random.js';
 import { type Room, Rules, jobFacts } from './rules.js';
 import { StateService } from './state-service.js';
 import { Worker } from './worker.js';
@@ -45,12 +45,12 @@
 
 export class Cluster {
   readonly clock = new VirtualClock();
-  readonly luck: Luck;
+  readonly random: SeededRandom;
   readonly net: Network;
   readonly state: StateService;
   readonly cloud: CloudService;
   readonly rules: Rules;
-  readonly hall: GangHall;
+  readonly gangs: GangCoordinator;
   readonly names: string[];
   private readonly lives = new Map<string, Life>();
   private nextJob = 1;
@@ -61,9 +61,9 @@
 
   constructor(private readonly config: ClusterConfig) {
     this.names = Array.from({ length: config.nodes ?? 3 }, (_, i) => `n${i}`);
-    this.luck = new Luck(config.seed);
-    this.net = new Network(this.clock, this.luck);
-    this.hall = new GangHall(this.clock, this.luck);
+    this.random = new SeededRandom(config.seed);
+    this.net = new Network(this.clock, this.random);
+    this.gangs = new GangCoordinator(this.clock, this.random);
     const limit = config.teamLimit ?? 80;
     this.rules = new Rules(
       () => this.clock.time,
@@ -73,11 +73,11 @@
         ['t1', limit],
       ]),
     );
-    this.state = new StateService(this.clock, this.luck, config.state ?? null);
+    this.state = new StateService(this.clock, this.random, config.state ?? null);
     const cap = config.capacity ?? 4;
     const zones = config.zones ?? ['a', 'b'];
     const capacity = new Map(zones.flatMap((z) => [`${z}|false`, `${z}|true`]).map((k) => [k, cap]));
-    this.cloud = new CloudService(this.clock, this.luck, capacity, (m) => this.bootWorker(m));
+    this.cloud = new CloudService(this.clock, this.random, capacity, (m) => this.bootWorker(m));
     this.net.hosts.set('state:1', {
       handler: (m, p, b, from) => this.state.handle(m, p, b, from),
       hangsUntil: 0,
@@ -89,7 +89,7 @@
   }
 
   private bootWorker(m: CloudMachine): Worker {
-    const w = new Worker(this.net, this.luck, this.rules, this.hall, {
+    const w = new Worker(this.net, this.random, this.rules, this.gangs, {
       id: m.id,
       address: `w-${m.id}:9000`,
       type: m.type,
@@ -129,6 +129,8 @@
       reportS: (this.config.reportMs ?? REPORT_MS) / 1000,
       leaseS: (this.config.leaseMs ?? LEASE_MS) / 1000,
       cancelS: CANCEL_MS / 1000,
+      gangWaitS: GANG_WAIT_MS / 1000,
+      gangPeerS: GANG_PEER_MS / 1000,
       stateRps: this.config.state?.rps ?? 200,
       stateWriteRps: this.config.state?.writeRps ?? 40,
       valueKb: 4,
@@ -143,7 +145,7 @@
   startNode(name: string): void {
     const life: Partial<Life> & { alive: boolean; frozenUntil: number } = { alive: true, frozenUntil: 0 };
     const alive = (): boolean => life.alive;
-    const clock = this.clock.host(this.luck.between(1, 1.0005), alive);
+    const clock = this.clock.host(this.random.between(1, 1.0005), alive);
     const onceThawed = (fn: () => void): void => {
       const left = life.frozenUntil - this.clock.time;
       if (left > 0) this.clock.after(left, () => onceThawed(fn));
@@ -160,7 +162,7 @@
           }),
       },
       log: { ...quiet, info: (fields, text) => this.config.log?.(name, text, fields) },
-      random: () => this.luck.unit(),
+      random: () => this.random.unit(),
     };
     const tell = (m: Parameters<ControllerNode['peerMessage']>[0]): void => {
       for (const [other, l] of this.lives)
@@ -283,26 +285,26 @@
   // Users.
 
   jobBody(over: Body = {}): Body {
-    const service = this.luck.chance(0.4);
+    const service = this.random.chance(0.4);
     const id = `run-${String(this.nextJob++).padStart(6, '0')}`;
     return {
       id,
       grist: service ? 'desk' : 'batch',
-      miller: this.luck.pick(['t0', 't1']),
+      miller: this.random.pick(['t0', 't1']),
       grind: service ? 'daemon' : 'array',
       precedence: service ? 'production' : 'normal',
-      sacks: service ? this.luck.pick([1, 3]) : this.luck.int(1, 14),
+      sacks: service ? this.random.pick([1, 3]) : this.random.int(1, 14),
       vcpus: 2,
       gpus: 0,
       ram_gb: 4,
-      seed: `img-${this.luck.int(0, 2)}`,
+      seed: `img-${this.random.int(0, 2)}`,
       image_gb: 1,
       stone_kinds: null,
       yard: null,
-      one_zone: !service && this.luck.chance(0.2),
+      one_zone: !service && this.random.chance(0.2),
       scatter: service,
       loaned_stones: !service,
-      grind_s: service ? 0 : this.luck.between(2, 9),
+      grind_s: service ? 0 : this.random.between(2, 9),
       bin_every_s: 0,
       bin_s: 0,
       due_s: service ? null : 60,
@@ -311,7 +313,7 @@
   }
 
   private ask(method: string, path: string, body: Body | null, via?: string): Promise<Reply> {
-    return this.net.send('user', `${via ?? this.luck.pick(this.names)}:80`, method, path, body, 5000);
+    return this.net.send('user', `${via ?? this.random.pick(this.names)}:80`, method, path, body, 5000);
   }
 
   /** Asks, through `via` or any node, until there is an answer that stands. */
@@ -370,9 +372,9 @@
     if (!facts.toldAccepted) return;
     if (cancelAfterMs !== null) this.clock.after(cancelAfterMs, () => void this.cancel(id));
     for (;;) {
-      await this.later(this.luck.between(2000, 5000));
+      await this.later(this.random.between(2000, 5000));
       await this.question(id);
-      if (this.luck.chance(0.03)) void this.insist(id, 'POST', '/v1/jobs', body);
+      if (this.random.chance(0.03)) void this.insist(id, 'POST', '/v1/jobs', body);
     }
   }
 
--- a/test/sim/gangs.ts
+++ b/test/sim/gang-coordinator.ts
@@ -1,5 +1,5 @@
 import type { VirtualClock } from './clock.js';
-import type { Luck } from './random.js';
+import type { SeededRandom } from './random.js';
 import type { JobFacts } from './rules.js';
 
 export const GANG_WAIT_MS = 6000;
@@ -9,7 +9,6 @@
 /** A task of a gang that has its image, as its worker stands for it. */
 export interface Member {
   run(): void;
-  saving(): void;
   exit(cause: string): void;
   /** Its machine stands still. */
   hangs(): boolean;
@@ -30,7 +29,7 @@
 }
 
 /** How the tasks of one attempt find each other: PROTOCOL's new page, acted out for all workers at once. */
-export class GangHall {
+export class GangCoordinator {
   private readonly gangs = new Map<string, Gang>();
   /** How many gangs began, for tests. */
   begun = 0;
@@ -39,7 +38,7 @@
 
   constructor(
     private readonly clock: VirtualClock,
-    private readonly luck: Luck,
+    private readonly random: SeededRandom,
   ) {}
 
   /** How many attempts had a task that got its image. */
@@ -101,7 +100,7 @@
     const progress = g.frozen?.progress ?? this.progress(g);
     if (every > 0) job.progressMs = Math.max(job.progressMs, Math.floor(progress / every) * every);
     for (const m of this.disband(g))
-      this.clock.after(this.luck.between(0, GANG_PEER_MS), () => m.exit('peers'));
+      this.clock.after(this.random.between(0, GANG_PEER_MS), () => m.exit('peers'));
   }
 
   private disband(g: Gang): Member[] {
@@ -135,7 +134,6 @@
       return this.leave(job, attempt, num, 'stopped');
     if (g.told.has(num)) return;
     g.told.set(num, this.clock.time);
-    g.members.get(num)?.saving();
     if (g.state === 'running') {
       g.state = 'stopping';
       g.frozen = { at: this.clock.time, progress: this.progress(g) };
--- a/test/sim/network.ts
+++ b/test/sim/network.ts
@@ -1,7 +1,7 @@
 import type { Reply } from '../../src/runtime.js';
 import { type Body, decodeMap, encode } from '../../src/wire/cbor.js';
 import type { VirtualClock } from './clock.js';
-import type { Luck } from './random.js';
+import type { SeededRandom } from './random.js';
 
 export type Handler = (method: string, path: string, body: Body, from: string) => Promise<Reply> | Reply;
 
@@ -43,7 +43,7 @@
 
   constructor(
     readonly clock: VirtualClock,
-    private readonly luck: Luck,
+    private readonly random: SeededRandom,
   ) {}
 
   private cut(a: string, b: string, answer: boolean): Cut | undefined {
@@ -56,7 +56,7 @@
   }
 
   private delay(): number {
-    return this.slow * (this.luck.chance(0.01) ? this.luck.between(5, 300) : this.luck.between(0.2, 4));
+    return this.slow * (this.random.chance(0.01) ? this.random.between(5, 300) : this.random.between(0.2, 4));
   }
 
   /** One way: `arrive` runs when (if) the message gets there, `broken` when the sender sees a reset. */
@@ -66,7 +66,7 @@
       this.clock.after(this.delay(), broken);
     } else if (c) {
       this.clock.after(c.until - this.clock.time + this.delay(), arrive);
-    } else if (!this.luck.chance(this.lossy)) {
+    } else if (!this.random.chance(this.lossy)) {
       this.clock.after(this.delay(), arrive);
     }
   }
@@ -119,16 +119,16 @@
         });
       };
       this.carry(from, to, arrive, none);
-      if (this.copies?.path === path && this.luck.chance(this.copies.chance)) {
+      if (this.copies?.path === path && this.random.chance(this.copies.chance)) {
         const copyTo = this.copies.to();
         this.clock.after(
-          this.luck.between(500, this.copies.upToMs),
+          this.random.between(500, this.copies.upToMs),
           () => void this.deliver(from, copyTo, method, path, sent),
         );
       }
-      if (method === 'POST' && this.luck.chance(this.repeats))
+      if (method === 'POST' && this.random.chance(this.repeats))
         this.clock.after(
-          this.luck.between(50, 15_000),
+          this.random.between(50, 15_000),
           () => void this.deliver(from, to, method, path, sent),
         );
     });
--- a/test/sim/play.ts
+++ b/test/sim/play.ts
@@ -21,7 +21,8 @@
   const c = new Cluster(config);
   await c.run(4);
   for (let s = 0; s < 60; s++) {
-    if (c.luck.chance(0.25)) void c.user(c.jobBody(), c.luck.chance(0.15) ? c.luck.between(0, 20_000) : null);
+    if (c.random.chance(0.25))
+      void c.user(c.jobBody(), c.random.chance(0.15) ? c.random.between(0, 20_000) : null);
     troubles(c, s);
     await c.run(1);
   }
--- a/test/sim/random.ts
+++ b/test/sim/random.ts
@@ -1,8 +1,8 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
-/** Seeded luck for one run. */
-export class Luck {
+/** Seeded random for one run. */
+export class SeededRandom {
   private readonly rng;
 
   constructor(seed: number) {
--- a/test/sim/scenarios.ts
+++ b/test/sim/scenarios.ts
@@ -1,4 +1,4 @@
-/** Troubles and beginnings that several tests bring about, all by the cluster's seeded luck. */
+/** Troubles and beginnings that several tests bring about, all by the cluster's seeded random. */
 import assert from 'node:assert/strict';
 import { Cluster, type ClusterConfig, LEASE_MS } from './cluster.js';
 import { DESK } from './jobs.js';
@@ -17,7 +17,7 @@
 
 export const ids = (c: Cluster): string[] => [...c.rules.jobs.keys()];
 export const other = (c: Cluster, than: string): string => c.names.find((n) => n !== than)!;
-export const leaderOr = (c: Cluster): string => c.leader() ?? c.luck.pick(c.names);
+export const leaderOr = (c: Cluster): string => c.leader() ?? c.random.pick(c.names);
 
 export function tasksOf(c: Cluster, id: string): number {
   return [...c.rules.on.keys()].filter((t) => t.startsWith(`${id}/`)).length;
@@ -50,10 +50,10 @@
 }
 
 export function someMachines(c: Cluster, share: number): (id: string) => boolean {
-  const chosen = new Set([...c.cloud.machines.keys()].filter(() => c.luck.chance(share)));
+  const chosen = new Set([...c.cloud.machines.keys()].filter(() => c.random.chance(share)));
   return (id) => chosen.has(id);
 }
 
 export function hangSome(c: Cluster, share: number, ms: number): void {
-  for (const m of c.cloud.machines.values()) if (m.worker && c.luck.chance(share)) c.hang(m.id, ms);
+  for (const m of c.cloud.machines.values()) if (m.worker && c.random.chance(share)) c.hang(m.id, ms);
 }
--- a/test/sim/state-service.ts
+++ b/test/sim/state-service.ts
@@ -1,7 +1,7 @@
 import type { Reply } from '../../src/runtime.js';
 import { type Body, isMap, narrow } from '../../src/wire/cbor.js';
 import type { VirtualClock } from './clock.js';
-import type { Luck } from './random.js';
+import type { SeededRandom } from './random.js';
 
 interface Item {
   value: unknown;
@@ -27,7 +27,7 @@
 
   constructor(
     private readonly clock: VirtualClock,
-    private readonly luck: Luck,
+    private readonly random: SeededRandom,
     private readonly limits: { rps: number; writeRps: number } | null = null,
   ) {
     this.expireLoop();
@@ -126,9 +126,9 @@
       if (
         this.lateWrites &&
         this.clock.time < this.lateWrites.until &&
-        this.luck.chance(this.lateWrites.share)
+        this.random.chance(this.lateWrites.share)
       ) {
-        this.clock.after(this.luck.between(2000, 12_000), () => this.txn(body));
+        this.clock.after(this.random.between(2000, 12_000), () => this.txn(body));
         return new Promise(() => undefined);
       }
       return this.txn(body);
--- a/test/sim/worker.ts
+++ b/test/sim/worker.ts
@@ -1,8 +1,8 @@
 import type { Reply } from '../../src/runtime.js';
 import { type Body, narrow } from '../../src/wire/cbor.js';
-import type { Luck } from './random.js';
+import type { SeededRandom } from './random.js';
 import type { Network } from './network.js';
-import type { GangHall } from './gangs.js';
+import type { GangCoordinator } from './gang-coordinator.js';
 import type { JobFacts, Rules } from './rules.js';
 
 interface Task {
@@ -47,13 +47,13 @@
 
   constructor(
     private readonly net: Network,
-    private readonly luck: Luck,
+    private readonly random: SeededRandom,
     private readonly rules: Rules,
-    private readonly hall: GangHall,
+    private readonly gangs: GangCoordinator,
     readonly config: WorkerConfig,
   ) {
     this.sessionBegan = this.now();
-    this.node = luck.int(0, config.nodes.length - 1);
+    this.node = random.int(0, config.nodes.length - 1);
     net.hosts.set(config.address, { handler: (_m, p, b) => this.handle(p, b), hangsUntil: 0 });
     this.loop();
     this.leaseLoop();
@@ -102,7 +102,7 @@
       if (t.condition === 'waiting' || t.condition === 'running' || t.condition === 'flushing')
         this.rules.leave(t.sack, this.config.id, false);
       const [job, num] = this.jobOf(t.sack);
-      if (job?.spec.grind === 'group') this.hall.leave(job, t.try, num, null);
+      if (job?.spec.grind === 'group') this.gangs.leave(job, t.try, num, null);
     }
     this.tasks.clear();
   }
@@ -117,7 +117,7 @@
 
   private loop(): void {
     this.checkLease();
-    const every = this.config.reportMs * this.luck.between(0.75, 1.25);
+    const every = this.config.reportMs * this.random.between(0.75, 1.25);
     if (
       !this.reporting &&
       (this.now() - this.lastReport >= every || (this.changed && this.now() - this.lastReport >= 500))
@@ -178,7 +178,7 @@
           if (i < 0 || this.config.nodes[i] === node) next();
           else {
             this.node = i;
-            this.after(this.luck.between(0, 500), () => {
+            this.after(this.random.between(0, 500), () => {
               this.lastReport = -Infinity;
               this.reporting = false;
             });
@@ -248,7 +248,7 @@
 
   private stop(t: Task, graceS: number): void {
     const [job, num] = this.jobOf(t.sack);
-    if (job?.spec.grind === 'group' && t.condition !== 'fetching') this.hall.stop(job, t.try, num, graceS);
+    if (job?.spec.grind === 'group' && t.condition !== 'fetching') this.gangs.stop(job, t.try, num, graceS);
     else this.end(t, 'stopped');
   }
 
@@ -261,14 +261,12 @@
         if (this.tasks.get(`${t.sack}#${t.try}`) === t && t.condition !== 'ended') fn();
       });
     };
-    const turn = (condition: 'running' | 'flushing'): void =>
-      alive(() => {
-        t.condition = condition;
-        this.change();
-      });
-    this.hall.arrive(job, t.try, num, {
-      run: () => turn('running'),
-      saving: () => turn('flushing'),
+    this.gangs.arrive(job, t.try, num, {
+      run: () =>
+        alive(() => {
+          t.condition = 'running';
+          this.change();
+        }),
       exit: (cause) => alive(() => this.end(t, cause)),
       hangs: () => this.net.hosts.get(this.config.address)!.hangsUntil > this.now(),
       slow: this.config.slow,
@@ -298,7 +296,9 @@
       return;
     }
     const s = job!.spec;
-    const fetch = this.images.has(s.seed as string) ? 1 : this.luck.between(500, 4000);
+    const fetch = this.images.has(s.seed as string)
+      ? 1
+      : this.random.between(500, 4000) * (s.image_gb as number);
     const begin = (): void => {
       this.images.add(s.seed as string);
       if (s.grind !== 'group') t.condition = 'running';
@@ -316,7 +316,7 @@
       if (this.config.faulty || s.broken === true) t.cancel = this.after(300, () => this.end(t, 'error'));
       else if (s.grind !== 'daemon') {
         const kept = job!.finished.has(Number(sack.slice(sack.lastIndexOf('/') + 1)));
-        const ms = kept ? 1 : (s.grind_s as number) * 1000 * this.luck.between(0.7, 1.3) * this.config.slow;
+        const ms = kept ? 1 : (s.grind_s as number) * 1000 * this.random.between(0.7, 1.3) * this.config.slow;
         t.cancel = this.after(ms, () => this.end(t, 'done'));
       }
     };
--- a/test/troubles.test.ts
+++ b/test/troubles.test.ts
@@ -2,13 +2,14 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { CANCEL_MS, Cluster, LEASE_MS, zoneOf } from './sim/cluster.js';
-import { keepMs } from '../src/leadership/keeping.js';
+import { leaseExtensionMs } from '../src/leadership/lease-extension.js';
 import { BATCH, DESK } from './sim/jobs.js';
 import { outsider } from './sim/outsider.js';
 import { jobFacts } from './sim/rules.js';
 import { StateStore } from '../src/state-store/client.js';
-import { MachineRegistry } from '../src/workers/registry.js';
-import { type Machine, MachineTable } from '../src/workers/table.js';
+import { MachineRecordStore } from '../src/workers/machine-records.js';
+import { type Machine } from '../src/workers/machine.js';
+import { MachineTable } from '../src/workers/machine-table.js';
 import { LiveMirror } from '../src/jobs/mirror.js';
 import type { Reply } from '../src/runtime.js';
 import type { Body } from '../src/wire/cbor.js';
@@ -244,7 +245,7 @@
 function registryBed(): {
   c: Cluster;
   table: MachineTable;
-  registry: MachineRegistry;
+  registry: MachineRecordStore;
   add: (id: string) => Machine;
   stored: () => string[];
 } {
@@ -254,7 +255,10 @@
   c.net.repeats = 0;
   c.state.plant('boss', {});
   const store = new StateStore(world, { address: 'state:1', nodes: 1, rps: 100, writeRps: 50 });
-  const table = new MachineTable(1, 8000, () => undefined, { held: () => undefined, left: () => undefined });
+  const table = new MachineTable(1, 8000, () => undefined, {
+    attemptAdded: () => undefined,
+    attemptGone: () => undefined,
+  });
   const type = {
     name: 't',
     cpus: 8,
@@ -266,7 +270,7 @@
     bootS: 1,
     zones: ['a'],
   };
-  const registry = new MachineRegistry({
+  const registry = new MachineRecordStore({
     world,
     store,
     table,
@@ -401,7 +405,7 @@
     ordinaryUp: 10,
     log: (_node, text, fields) => {
       if (text === 'every machine is known') known.push(c.clock.time);
-      if (text === 'duty' && (fields as { to: string }).to === 'serving') serving = c.clock.time;
+      if (text === 'leader term' && (fields as { to: string }).to === 'serving') serving = c.clock.time;
     },
   });
   c.net.lossy = 0;
@@ -416,7 +420,7 @@
   known.length = 0;
   await c.run(40);
   // What keepers may add, a lease, and the time to act on it.
-  const most = keepMs(CANCEL_MS / 1000, LEASE_MS / 1000) + LEASE_MS + 1500;
+  const most = leaseExtensionMs(CANCEL_MS / 1000, LEASE_MS / 1000) + LEASE_MS + 1500;
   assert.equal(known.length, 1);
   assert.ok(known[0]! - serving < most, `${known[0]! - serving} ms`);
   const again = c.clock.time;
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -2,13 +2,13 @@
 import assert from 'node:assert/strict';
 import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
-import { Finisher } from '../src/jobs/finisher.js';
-import { JobBook } from '../src/jobs/book.js';
+import { CompletionWriter } from '../src/jobs/completion-writer.js';
+import { JobTable } from '../src/jobs/job-table.js';
 import { endedKey, finishedKey, liveKey, readEnded, readLive } from '../src/jobs/records.js';
 import { Deframer, frame, readPeerMessage } from '../src/peers/peers.js';
 import type { PlatformSettings } from '../src/settings/platform.js';
 import { StateStore } from '../src/state-store/client.js';
-import { readMachinePage } from '../src/workers/registry.js';
+import { readMachinePage } from '../src/workers/machine-records.js';
 import type { JobSpec } from '../src/wire/model.js';
 import { Cluster, LEASE_MS } from './sim/cluster.js';
 import { BATCH, DESK, GANG } from './sim/jobs.js';
@@ -186,28 +186,28 @@
   const world = outsider(c);
   const store = new StateStore(world, { address: 'state:1', nodes: 1, rps: 100, writeRps: 50 });
   const spec = readLive(Object.entries(OLD.items).find(([k]) => k.startsWith('j/'))![1])!.spec;
-  const book = new JobBook();
+  const jobs = new JobTable();
   c.state.plant(liveKey('run-1'), {});
   const version = c.state.items.get(liveKey('run-1'))!.version;
-  const job = book.add({ ...spec, id: 'run-1', kind: 'array', tasks: 100_000 }, version, 0, true, 0);
-  const finisher = new Finisher({
+  const job = jobs.add({ ...spec, id: 'run-1', kind: 'array', tasks: 100_000 }, version, 0, true, 0);
+  const completionWriter = new CompletionWriter({
     world,
     store,
-    book,
+    jobs,
     txnOps: 4,
     writeRps: 50,
     leads: () => true,
     leaderGuard: () => ({ key: 'boss', version: c.state.items.get('boss')!.version }),
     surelyEmpty: () => true,
-    ended: (j) => book.remove(j),
+    ended: (j) => jobs.remove(j),
   });
   for (let num = 0; num < 100_000; num++) job.finish(num, 0);
   for (let chunk = 0; chunk < 13; chunk++) {
     c.state.plant(finishedKey('run-1', chunk), 'x');
-    finisher.noteWritten(job, chunk);
+    completionWriter.noteWritten(job, chunk);
   }
   for (let s = 0; s < 60; s++) {
-    finisher.tick();
+    completionWriter.tick();
     await c.run(0.2);
   }
   assert.deepEqual(c.state.value(endedKey('run-1')), { state: 'done', tasks: 100_000 });
@@ -222,7 +222,7 @@
   const o = await play({ seed: 5, ordinaryUp: 30, capacity: 12 }, (c, s) => {
     if (s === 20) c.state.bounds = { valueBytes: 700, txnOps: 3 };
     if (s === 25 || s === 40) c.crash(c.leader() ?? 'n1', 150);
-    const m = c.luck.pick([...c.cloud.machines.values()]);
+    const m = c.random.pick([...c.cloud.machines.values()]);
     if (s > 20 && s % 4 === 0 && m?.worker) c.cloud.take(m);
   });
   expectKept(o);
@@ -246,9 +246,9 @@
       if (s === 14) c.state.outage(6000);
       if (s % 13 === 6) c.cancelNow(2, 2000);
       if (s === 30) c.state.bounds = { valueBytes: 1024, txnOps: 4 };
-      if (s > 26 && s % 4 === 0) void c.user(c.jobBody({ ...GANG, sacks: c.luck.int(2, 6) }), null);
+      if (s > 26 && s % 4 === 0) void c.user(c.jobBody({ ...GANG, sacks: c.random.int(2, 6) }), null);
       if (s === 40) c.crash(c.leader() ?? 'n1', 150);
-      if (s === 50) for (const n of c.names) c.crash(n, c.luck.between(100, 3000));
+      if (s === 50) for (const n of c.names) c.crash(n, c.random.between(100, 3000));
     });
     expectKept(o);
     assert.equal(o.cluster.state.tooLarge, 0, 'nobody writes what is too large');
