Fixtures of both older versions, read and compared; a cancellation of an oversized record is written

A record that was stored larger than values may be now could not be cancelled: each rewrite got 400 and the user 503. It is now written without what only another version knows and without its list of machine types; both older versions read that.

--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -4,7 +4,7 @@
 import type { JobSpec, MachineType } from '../wire/model.js';
 import { type Change, isJobId, jobAnswer, readJob } from '../wire/messages.js';
 import type { LiveMirror, MirroredJob } from './mirror.js';
-import { type LiveRecord, endedKey, liveKey, readEnded } from './records.js';
+import { type LiveRecord, endedKey, liveKey, minimalCancelled, readEnded } from './records.js';
 
 export interface Answer {
   status: number;
@@ -161,7 +161,11 @@
       const changes: Change[] = k.record
         ? [{ put: liveKey(id), value: { ...(k.value as object), cancelled: true } }]
         : [{ remove: liveKey(id) }, { put: endedKey(id), value: { state: 'cancelled', tasks: 0 } }];
-      const t = await this.deps.store.txn([{ key: liveKey(id), version: k.version }], changes);
+      const guards = [{ key: liveKey(id), version: k.version }];
+      let t = await this.deps.store.txn(guards, changes);
+      // Stored when larger values were allowed: a confirmed cancellation must not depend on that.
+      if (t.kind === 'invalid' && k.record)
+        t = await this.deps.store.txn(guards, [{ put: liveKey(id), value: minimalCancelled(k.record) }]);
       if (t.kind === 'applied') return this.cancelled(id);
       if (t.kind !== 'conflict') return LATER;
     }
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -27,10 +27,31 @@
   return { spec: v.spec, at: v.at, cancelled: v.cancelled === true };
 }
 
+/**
+ * A cancelled record as small as it can be, for a state service that has come to refuse it at its size: what only
+ * another version knows is left out, and the list of machine types, since nothing of the job starts any more.
+ */
+export function minimalCancelled(record: LiveRecord): LiveRecord {
+  const { spec, at } = record;
+  const known = Object.fromEntries(SPEC_FIELDS.map((field) => [field, spec[field]]));
+  return { spec: { ...(known as unknown as JobSpec), types: null }, at, cancelled: true };
+}
+
 const KINDS: unknown[] = ['array', 'service', 'gang'];
 const TEXTS = ['id', 'cls', 'team', 'image'] as const;
 const AMOUNTS = ['cpus', 'gpus', 'memoryGb', 'imageGb', 'estimateS', 'checkpointS', 'saveS'] as const;
 const FLAGS = ['oneZone', 'spread', 'spot'] as const;
+const SPEC_FIELDS: (keyof JobSpec)[] = [
+  ...TEXTS,
+  ...AMOUNTS,
+  ...FLAGS,
+  'kind',
+  'priority',
+  'tasks',
+  'types',
+  'zone',
+  'deadlineS',
+];
 
 /** A broken record must not bring the leader down, and each next leader after it. */
 function isSpec(s: Record<string, unknown>): s is Record<string, unknown> & JobSpec {
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -3,6 +3,7 @@
 import type { Reply, World } from '../../src/runtime.js';
 import { defaultOperatorSettings } from '../../src/settings/operator.js';
 import type { Objective, PlatformSettings } from '../../src/settings/platform.js';
+import type { PeerMessage } from '../../src/peers/peers.js';
 import type { Body } from '../../src/wire/cbor.js';
 import { CloudService, type CloudMachine } from './cloud.js';
 import { VirtualClock } from './clock.js';
@@ -142,6 +143,13 @@
     };
   }
 
+  private listener: (m: PeerMessage) => void = () => undefined;
+
+  /** Shows each message that a controller sends to the others. */
+  listen(listener: (m: PeerMessage) => void): void {
+    this.listener = listener;
+  }
+
   startNode(name: string): void {
     const life: Partial<Life> & { alive: boolean; frozenUntil: number } = { alive: true, frozenUntil: 0 };
     const alive = (): boolean => life.alive;
@@ -164,7 +172,8 @@
       log: { ...quiet, info: (fields, text) => this.config.log?.(name, text, fields) },
       random: () => this.random.unit(),
     };
-    const tell = (m: Parameters<ControllerNode['peerMessage']>[0]): void => {
+    const tell = (m: PeerMessage): void => {
+      this.listener(m);
       for (const [other, l] of this.lives)
         if (other !== name)
           this.net.tell(
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -22,33 +22,88 @@
   frames: Record<string, string>;
 }
 
-/** Records and messages of the version in production, as its code wrote them in a simulated cluster. */
-const OLD = JSON.parse(readFileSync('test/fixtures/production.json', 'utf8')) as Fixture;
+/**
+ * Records and messages as each older version wrote them when it was run in a simulated cluster. `e9643d1` does not
+ * know gangs yet; `b746609` is the first version that does.
+ */
+const OLDER = ['e9643d1', 'b746609'].map((version) => ({
+  version,
+  ...(JSON.parse(readFileSync(`test/fixtures/${version}.json`, 'utf8')) as Fixture),
+}));
+const OLD = OLDER[0]!;
 
 const STRICT = { valueKb: 1, txnOps: 4, stateWriteRps: 25 };
 
-test('records and messages of production are read', () => {
-  const kinds = new Set<string>();
-  for (const [key, value] of Object.entries(OLD.items)) {
-    const pair = { key, value, version: 3 };
-    kinds.add(key.slice(0, 2));
-    if (key.startsWith('j/')) assert.equal(readLive(value)?.spec.id, key.slice(2));
-    if (key.startsWith('e/')) assert.notEqual(readEnded(value), null, key);
-    if (key.startsWith('m/')) assert.ok(readMachinePage(pair).length > 5, key);
-  }
-  assert.deepEqual([...kinds].sort(), ['ca', 'd/', 'e/', 'j/', 'm/']);
-  for (const [kind, bytes] of Object.entries(OLD.frames)) {
-    const read = new Deframer().push(Buffer.from(bytes, 'base64'));
-    assert.equal(read?.[0]?.t, kind);
+for (const older of OLDER)
+  test(`records and messages of ${older.version} are read`, () => {
+    const kinds = new Set<string>();
+    for (const [key, value] of Object.entries(older.items)) {
+      const pair = { key, value, version: 3 };
+      kinds.add(key.slice(0, 2));
+      if (key.startsWith('j/')) assert.equal(readLive(value)?.spec.id, key.slice(2));
+      if (key.startsWith('e/')) assert.notEqual(readEnded(value), null, key);
+      if (key.startsWith('m/')) assert.ok(readMachinePage(pair).length > 5, key);
+    }
+    assert.deepEqual([...kinds].sort(), ['ca', 'd/', 'e/', 'j/', 'm/']);
+    for (const [kind, bytes] of Object.entries(older.frames)) {
+      const read = new Deframer().push(Buffer.from(bytes, 'base64'));
+      assert.equal(read?.[0]?.t, kind);
+    }
+    assert.deepEqual(Object.keys(older.frames).sort(), [
+      'ask',
+      'attest',
+      'cancelled',
+      'grant',
+      'progress',
+      'served',
+    ]);
+  });
+
+/** Names and types of all fields, so that records can be compared for what a reader relies on. */
+function shapeOf(value: unknown): unknown {
+  if (Array.isArray(value)) return value.length > 0 ? [shapeOf(value[0])] : [];
+  if (typeof value !== 'object' || value === null) return value === null ? 'null' : typeof value;
+  const fields = Object.entries(value).map(([name, v]) => [name, shapeOf(v)] as const);
+  return Object.fromEntries(fields.sort(([a], [b]) => a.localeCompare(b)));
+}
+
+function shapesByKind(items: [string, unknown][]): Map<string, Set<string>> {
+  const shapes = new Map<string, Set<string>>();
+  for (const [key, value] of items) {
+    const kind = key.slice(0, 2);
+    // Values that may be null or not are compared as if they were null.
+    const text = JSON.stringify(shapeOf(value)).replace(
+      /"(deadlineS|types|zone)":("number"|"string"|\[.*?\])/g,
+      '"$1":"null"',
+    );
+    shapes.set(kind, (shapes.get(kind) ?? new Set()).add(text));
   }
-  assert.deepEqual(Object.keys(OLD.frames).sort(), [
-    'ask',
-    'attest',
-    'cancelled',
-    'grant',
-    'progress',
-    'served',
-  ]);
+  return shapes;
+}
+
+test('what this version writes has the fields that older versions write and read', async () => {
+  const c = new Cluster({ seed: 31, ordinaryUp: 20, capacity: 12 });
+  const sent = new Map<string, unknown>();
+  c.listen((m) => sent.set(m.t, m));
+  await c.run(5);
+  void c.user(c.jobBody({ ...DESK, miller: 't0' }), null);
+  void c.user(c.jobBody({ ...BATCH, miller: 't1', sacks: 60, grind_s: 9 }), null);
+  void c.user(c.jobBody({ ...GANG, miller: 't0', sacks: 4, grind_s: 60 }), null);
+  void c.user(c.jobBody({ ...BATCH, miller: 't0', sacks: 3, grind_s: 2 }), null);
+  const cancelled = c.jobBody({ ...GANG, miller: 't0', sacks: 2, grind_s: 40 });
+  void c.user(cancelled, 16_000);
+  await c.run(20);
+  const items = [...c.state.items].map(([key, item]): [string, unknown] => [key, item.value]);
+  const written = shapesByKind(items);
+  for (const older of OLDER)
+    for (const [kind, shapes] of shapesByKind(Object.entries(older.items)))
+      for (const shape of shapes)
+        assert.ok(written.get(kind)?.has(shape), `${older.version}: ${kind} ${shape}`);
+  for (const older of OLDER)
+    for (const [kind, bytes] of Object.entries(older.frames)) {
+      const message = new Deframer().push(Buffer.from(bytes, 'base64'))![0]!;
+      assert.deepEqual(Object.keys(sent.get(kind) as object).sort(), Object.keys(message).sort(), kind);
+    }
 });
 
 test('messages of other kinds, or without what they need, are skipped', () => {
@@ -65,37 +120,39 @@
   );
 });
 
-test('a cluster goes on from the records of production: live, cancelled and half finished jobs', async () => {
-  const c = new Cluster({ seed: 1, ordinaryUp: 0 });
-  for (const n of c.names) c.crash(n, 1000);
-  for (const [key, value] of Object.entries(OLD.items)) c.state.plant(key, value);
-  const live = Object.entries(OLD.items).filter(([k]) => k.startsWith('j/'));
-  const waiting = new Set<string>();
-  for (const [key, value] of live) {
-    const r = readLive(value)!;
-    const id = key.slice(2);
-    const body = c.jobBody({ ...(r.spec.kind === 'array' ? BATCH : { ...BATCH, grind: 'daemon' }) });
-    const facts = jobFacts({ ...body, id, sacks: r.spec.tasks, miller: r.spec.team, grind_s: 2 }, 0);
-    Object.assign(facts, { toldAccepted: true, cancelAsked: r.cancelled });
-    c.rules.jobs.set(id, facts);
-    if (!r.cancelled) waiting.add(id);
-  }
-  // The machines of that time are gone; old jobs wait until that is proved.
-  await c.run(90);
-  for (const id of waiting) {
-    const job = c.rules.jobs.get(id)!;
-    assert.ok(job.firstStartAt !== null, `${id} went on`);
-    if (job.spec.grind === 'array')
-      assert.deepEqual(c.state.value(endedKey(id)), { state: 'done', tasks: job.spec.sacks });
-  }
-  for (const [key] of live)
-    if (!waiting.has(key.slice(2)))
-      assert.equal((c.state.value(endedKey(key.slice(2))) as { state: string }).state, 'cancelled');
-  assert.deepEqual(
-    c.rules.broken.filter((b) => !b.includes('not_done')),
-    [],
-  );
-});
+for (const older of OLDER)
+  test(`a cluster goes on from the records of ${older.version}: live, cancelled and half finished jobs`, async () => {
+    const c = new Cluster({ seed: 1, ordinaryUp: 0 });
+    for (const n of c.names) c.crash(n, 1000);
+    for (const [key, value] of Object.entries(older.items)) c.state.plant(key, value);
+    const live = Object.entries(older.items).filter(([k]) => k.startsWith('j/'));
+    const waiting = new Set<string>();
+    const kinds = { array: BATCH, service: { ...BATCH, grind: 'daemon' }, gang: GANG };
+    for (const [key, value] of live) {
+      const { spec, cancelled } = readLive(value)!;
+      const id = key.slice(2);
+      const body = c.jobBody(kinds[spec.kind]);
+      const facts = jobFacts({ ...body, id, sacks: spec.tasks, miller: spec.team, grind_s: 2 }, 0);
+      Object.assign(facts, { toldAccepted: true, cancelAsked: cancelled });
+      c.rules.jobs.set(id, facts);
+      if (!cancelled) waiting.add(id);
+    }
+    // The machines of that time are gone; old jobs wait until that is proved.
+    await c.run(90);
+    for (const id of waiting) {
+      const job = c.rules.jobs.get(id)!;
+      assert.ok(job.firstStartAt !== null, `${id} went on`);
+      if (job.spec.grind !== 'daemon')
+        assert.deepEqual(c.state.value(endedKey(id)), { state: 'done', tasks: job.spec.sacks });
+    }
+    for (const [key] of live)
+      if (!waiting.has(key.slice(2)))
+        assert.equal((c.state.value(endedKey(key.slice(2))) as { state: string }).state, 'cancelled');
+    assert.deepEqual(
+      c.rules.broken.filter((b) => !b.includes('not_done')),
+      [],
+    );
+  });
 
 test('what only another version knows stays in a record that is rewritten', async () => {
   const c = new Cluster({ seed: 2 });
@@ -176,6 +233,33 @@
   assert.deepEqual(c.rules.broken, []);
 });
 
+test('a job whose record was stored larger than values may be now can be cancelled, for all readers', async () => {
+  const c = new Cluster({ seed: 6 });
+  await c.run(4);
+  const spec = readLive(Object.entries(OLD.items).find(([k]) => k.startsWith('j/'))![1])!.spec;
+  const id = 'run-000901';
+  const types = Array.from({ length: 40 }, (_, i) => `${'kind-'.repeat(8)}${i}`);
+  c.state.plant(liveKey(id), {
+    spec: { ...spec, id, types },
+    at: 1e12,
+    cancelled: false,
+    later: 'x'.repeat(500),
+  });
+  c.rules.jobs.set(id, {
+    ...jobFacts(c.jobBody({ ...BATCH, id, miller: spec.team }), 0),
+    toldAccepted: true,
+  });
+  c.state.bounds = { valueBytes: 1024, txnOps: 4 };
+  void c.cancel(id);
+  await c.run(3);
+  assert.notEqual(c.rules.jobs.get(id)!.toldCancelledAt, null);
+  const written = c.state.history(liveKey(id)).map((value) => readLive(value));
+  assert.ok(written.some((record) => record?.cancelled && record.spec.id === id));
+  await c.run(15);
+  assert.deepEqual(c.state.value(endedKey(id)), { state: 'cancelled', tasks: spec.tasks });
+  assert.deepEqual(c.rules.broken, []);
+});
+
 test('the end of a job with many records of finished tasks fits into small transactions', async () => {
   const c = new Cluster({ seed: 4, ordinaryUp: 0 });
   for (const n of c.names) c.crash(n, 1e9);
