--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -5,6 +5,8 @@
 import { Placement } from '../src/placement/placement.js';
 import { defaultOperatorSettings } from '../src/settings/operator.js';
 import type { PlatformSettings } from '../src/settings/platform.js';
+import { forgetFailedMachines, noteFailure } from '../src/placement/failures.js';
+import type { Machine } from '../src/workers/machine.js';
 import { MachineTable } from '../src/workers/machine-table.js';
 import { CHUNK, packFinished, unpackFinished } from '../src/jobs/records.js';
 import { planRentals, type Pool } from '../src/fleet/plan.js';
@@ -57,6 +59,18 @@
   );
 });
 
+test('a job may use the machines again on which it failed, once it has waited for a while', () => {
+  const job = new Job(0, spec(), 1, 0, true, 0);
+  const machine = { idx: 4, failedJobs: new Set<number>(), draining: null } as unknown as Machine;
+  const table = { all: () => [machine].values() } as unknown as MachineTable;
+  assert.equal(noteFailure(job, machine, table, 1000), false);
+  assert.ok(job.notBefore > 1000 && job.failedOn.has(4));
+  forgetFailedMachines(job, 20_000);
+  assert.ok(job.failedOn.has(4), 'others are tried first');
+  forgetFailedMachines(job, 31_000);
+  assert.equal(job.failedOn.size, 0);
+});
+
 test('a finished task is not durable before its chunk is written', () => {
   const j = new Job(0, spec(), 1, 0, true, 0);
   j.finish(3, 100);
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -32,6 +32,8 @@
 }));
 const OLD = OLDER[0]!;
 
+const oldLed = new Set<number>();
+
 const STRICT = { valueKb: 1, txnOps: 4, stateWriteRps: 25 };
 
 for (const older of OLDER)
@@ -316,6 +318,32 @@
   assert.equal(o.cluster.state.tooLarge, before);
 });
 
+for (const seed of [21, 22, 23])
+  test(`a roll amid a zone cut, late writes and the return of an old process that leads (${seed})`, async () => {
+    const o = await play({ seed, nodes: 5, ordinaryUp: 20, capacity: 12 }, (c, s) => {
+      const node = c.names[Math.floor(s / 5)];
+      if (s % 5 === 2 && node) {
+        c.overrides.set(node, STRICT);
+        c.crash(node, 800);
+      }
+      if (s === 3) c.state.lateWrites = { share: 0.1, until: c.clock.time + 20_000 };
+      if (s === 8) {
+        const inB = c.inZone('b');
+        c.net.cuts.push({ a: inB, b: (h) => !inB(h), until: c.clock.time + 9000, mode: 'hold' });
+      }
+      // All but the last one, which is still old, are away for a moment: it leads and writes under the old limits.
+      if (s === 18) for (const n of c.names.slice(0, 4)) c.crash(n, 4000);
+      if (s === 21 && c.leader() === c.names[4]) oldLed.add(seed);
+      if (s % 13 === 6) c.cancelNow(2, 2000);
+      if (s === 30) c.state.bounds = { valueBytes: 1024, txnOps: 4 };
+      if (s > 3 && s % 4 === 0) void c.user(c.jobBody({ ...GANG, sacks: c.random.int(2, 6) }), null);
+      if (s === 44) c.crash(c.leader() ?? 'n1', 150);
+    });
+    expectKept(o);
+    assert.equal(o.cluster.state.tooLarge, 0, 'nobody writes what is too large');
+    assert.ok(oldLed.has(seed), 'the old process led');
+  });
+
 for (const seed of [11, 12, 13])
   test(`a roll under load, then lower limits: gangs, cancellations, crashes, some back old (${seed})`, async () => {
     const next: Partial<PlatformSettings> = STRICT;
