--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -1,7 +1,14 @@
 import type { World } from '../runtime.js';
 import { Bucket } from '../state-store/budget.js';
 import type { ListedMachine, MachineType } from '../wire/model.js';
-import { deletionBody, paths, readMachineList, readRental, readTypes, rentalBody } from '../wire/messages.js';
+import {
+  deletionBody,
+  readMachineList,
+  readRental,
+  readTypes,
+  rentalBody,
+  cloudPaths,
+} from '../wire/cloud.js';
 
 const TIMEOUT_MS = 5000;
 
@@ -25,14 +32,14 @@
   }
 
   async types(): Promise<MachineType[] | null> {
-    const r = await this.world.http.send(this.address, 'GET', paths.types, null, TIMEOUT_MS);
+    const r = await this.world.http.send(this.address, 'GET', cloudPaths.types, null, TIMEOUT_MS);
     return r.status === 200 ? readTypes(r.body) : null;
   }
 
   async list(): Promise<ListedMachine[] | null> {
     const all: ListedMachine[] = [];
     for (let after = ''; ;) {
-      const r = await this.world.http.send(this.address, 'GET', paths.list(after), null, TIMEOUT_MS);
+      const r = await this.world.http.send(this.address, 'GET', cloudPaths.list(after), null, TIMEOUT_MS);
       const page = r.status === 200 ? readMachineList(r.body) : null;
       if (!page) return null;
       all.push(...page.machines);
@@ -43,7 +50,7 @@
 
   async rent(request: string, type: string, zone: string, spot: boolean, count: number): Promise<RentResult> {
     const body = rentalBody(request, type, zone, spot, count);
-    const r = await this.world.http.send(this.address, 'POST', paths.machines, body, TIMEOUT_MS);
+    const r = await this.world.http.send(this.address, 'POST', cloudPaths.machines, body, TIMEOUT_MS);
     const ids = r.status === 200 ? readRental(r.body) : null;
     if (ids) return { kind: 'rented', ids };
     if (r.status === 0) return { kind: 'unknown' };
@@ -52,7 +59,13 @@
 
   /** True only for a 200: then the machines and everything on them are gone. */
   async delete(ids: string[]): Promise<boolean> {
-    const r = await this.world.http.send(this.address, 'POST', paths.deletion, deletionBody(ids), TIMEOUT_MS);
+    const r = await this.world.http.send(
+      this.address,
+      'POST',
+      cloudPaths.deletion,
+      deletionBody(ids),
+      TIMEOUT_MS,
+    );
     return r.status === 200;
   }
 }
--- a/src/http-server.ts
+++ b/src/http-server.ts
@@ -3,7 +3,8 @@
 import type { ControllerNode } from './node.js';
 import type { Answer } from './jobs/api.js';
 import { type Body, decodeMap, encode } from './wire/cbor.js';
-import { paths } from './wire/messages.js';
+import { userPaths } from './wire/users.js';
+import { workerPaths } from './wire/workers.js';
 import { shareSockets } from './sockets.js';
 
 const MAX_BODY = 64 * 1024;
@@ -58,22 +59,22 @@
     (req: Request, res: Response, next: NextFunction): void => {
       Promise.resolve(f(req)).then((a) => reply(res, a), next);
     };
-  app.get(paths.health, (_req, res) => {
+  app.get(userPaths.health, (_req, res) => {
     res.status(node.healthy() ? 200 : 503).end();
   });
   app.post(
-    paths.jobs,
+    userPaths.jobs,
     answer((req) => {
       const body = bodyOf(req);
       return body ? node.api.submit(body) : MALFORMED;
     }),
   );
   app.get(
-    `${paths.jobs}/:id`,
+    `${userPaths.jobs}/:id`,
     answer((req) => node.api.poll(String(req.params.id))),
   );
   app.post(
-    paths.cancel(':id'),
+    userPaths.cancel(':id'),
     answer((req) => node.api.cancel(String(req.params.id))),
   );
   app.use((_req: Request, res: Response) => reply(res, { status: 404, body: { error: 'no such path' } }));
@@ -96,7 +97,7 @@
     res.end(bytes);
   };
   const server = createServer((req, res) => {
-    if (req.method === 'POST' && req.url === paths.report) readBody(req, (body) => beat(body, res));
+    if (req.method === 'POST' && req.url === workerPaths.report) readBody(req, (body) => beat(body, res));
     else app(req, res);
   });
   server.on('connection', (socket) => {
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -2,7 +2,8 @@
 import type { StateStore } from '../state-store/client.js';
 import type { Body } from '../wire/cbor.js';
 import type { JobSpec, MachineType } from '../wire/model.js';
-import { type Change, isJobId, jobAnswer, readJob } from '../wire/messages.js';
+import { type Change } from '../wire/state.js';
+import { isJobId, jobAnswer, readJob } from '../wire/users.js';
 import type { LiveMirror, MirroredJob } from './mirror.js';
 import { type LiveRecord, endedKey, liveKey, minimalCancelled, readEnded } from './records.js';
 
--- a/src/jobs/cancellations.ts
+++ b/src/jobs/cancellations.ts
@@ -73,9 +73,10 @@
     for (const t of r.tasks) {
       if (t.state === 'exited' || !this.known.has(t.job)) continue;
       const told = orders.some(
-        (o) => o.op === 'stop' && o.job === t.job && o.num === t.num && o.attempt === t.attempt,
+        (o) => o.op === 'stop' && o.job === t.job && o.taskNumber === t.taskNumber && o.attempt === t.attempt,
       );
-      if (!told) out.push({ op: 'stop', job: t.job, num: t.num, attempt: t.attempt, graceS: 0 });
+      if (!told)
+        out.push({ op: 'stop', job: t.job, taskNumber: t.taskNumber, attempt: t.attempt, graceS: 0 });
     }
     return out;
   }
--- a/src/jobs/completion-writer.ts
+++ b/src/jobs/completion-writer.ts
@@ -1,7 +1,7 @@
 import type { World } from '../runtime.js';
 import { Bucket } from '../state-store/budget.js';
 import type { StateStore } from '../state-store/client.js';
-import type { Change, Guard } from '../wire/messages.js';
+import type { Change, Guard } from '../wire/state.js';
 import type { Job, JobTable } from './job-table.js';
 import { endedKey, finishedKey, liveKey, packFinished } from './records.js';
 
@@ -45,8 +45,8 @@
   }
 
   noteWritten(job: Job, chunk: number): void {
-    let s = this.written.get(job.idx);
-    if (!s) this.written.set(job.idx, (s = new Set()));
+    let s = this.written.get(job.index);
+    if (!s) this.written.set(job.index, (s = new Set()));
     s.add(chunk);
   }
 
@@ -57,7 +57,7 @@
 
   /** What of a large job doesn't go into one transaction is removed afterwards: with the job ended nobody reads it. */
   private endChanges(job: Job): Change[] {
-    const chunks = [...(this.written.get(job.idx) ?? [])].slice(0, Math.max(0, this.most - 2));
+    const chunks = [...(this.written.get(job.index) ?? [])].slice(0, Math.max(0, this.most - 2));
     const value = { state: job.cancelled ? 'cancelled' : 'done', tasks: job.spec.tasks };
     return [
       { remove: liveKey(job.spec.id) },
@@ -78,7 +78,7 @@
       changes.length + n <= this.most && guards.length < this.deps.txnOps * 4 - 1;
     for (const job of this.deps.jobs.all()) {
       const over = job.cancelled ? this.deps.surelyEmpty(job) : job.complete();
-      if (!over || job.ended !== 'no' || (this.notBefore.get(job.idx) ?? 0) > now) continue;
+      if (!over || job.ended !== 'no' || (this.notBefore.get(job.index) ?? 0) > now) continue;
       const end = this.endChanges(job);
       if (!room(end.length)) break;
       changes.push(...end);
@@ -87,7 +87,7 @@
       jobs.push(job);
     }
     for (const job of this.deps.jobs.all()) {
-      if (job.cancelled || job.complete() || (this.notBefore.get(job.idx) ?? 0) > now) continue;
+      if (job.cancelled || job.complete() || (this.notBefore.get(job.index) ?? 0) > now) continue;
       for (const [chunk, since] of job.dirty) {
         if (now - since < PARTIAL_MS || !room(1) || !this.partial.take()) continue;
         changes.push({ put: finishedKey(job.spec.id, chunk), value: packFinished(job.finished, chunk) });
@@ -122,12 +122,12 @@
         }
         for (const key of removed) this.leftOvers.delete(key);
         for (const j of ends) {
-          for (const c of this.written.get(j.idx) ?? []) {
+          for (const c of this.written.get(j.index) ?? []) {
             const key = finishedKey(j.spec.id, c);
             if (!changes.some((x) => 'remove' in x && x.remove === key)) this.leftOvers.add(key);
           }
-          this.written.delete(j.idx);
-          this.notBefore.delete(j.idx);
+          this.written.delete(j.index);
+          this.notBefore.delete(j.index);
           this.deps.ended(j);
         }
         return;
@@ -140,7 +140,7 @@
       const failed = r.kind === 'conflict' ? new Set(r.failed) : null;
       for (const j of jobs)
         if (!failed || failed.has(liveKey(j.spec.id)))
-          this.notBefore.set(j.idx, t + (r.kind === 'refused' ? 200 : invalid ? 5000 : 700));
+          this.notBefore.set(j.index, t + (r.kind === 'refused' ? 200 : invalid ? 5000 : 700));
     });
   }
 }
--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -32,12 +32,12 @@
   ended: 'no' | 'writing' | 'yes' = 'no';
 
   constructor(
-    /** Dense index, given at the door. */
-    readonly idx: number,
+    /** Dense index, assigned when the job becomes known. */
+    readonly index: number,
     readonly spec: JobSpec,
     public version: number,
-    /** Accepted at this time of day. */
-    readonly at: number,
+    /** Time of day of the acceptance, in milliseconds. */
+    readonly acceptedAt: number,
     /** Surely created after the leader's claim: no former leader can have started any task of it. */
     readonly fresh: boolean,
     now: number,
@@ -49,8 +49,8 @@
     this.key = [s.cpus, s.gpus, s.memoryGb, s.types?.join('+'), s.zone, s.spot, s.kind, s.priority].join('|');
   }
 
-  isFinished(num: number): boolean {
-    return (this.finished[num >> 3]! & (1 << (num & 7))) !== 0;
+  isFinished(taskNumber: number): boolean {
+    return (this.finished[taskNumber >> 3]! & (1 << (taskNumber & 7))) !== 0;
   }
 
   /** Tasks that are neither finished nor possibly on a machine. */
@@ -60,32 +60,35 @@
 
   loadFinished(chunk: number, bits: Uint8Array): void {
     for (let i = 0; i < bits.length * 8; i++) {
-      const num = chunk * CHUNK + i;
-      if (num < this.spec.tasks && (bits[i >> 3]! & (1 << (i & 7))) !== 0) this.setFinished(num);
+      const taskNumber = chunk * CHUNK + i;
+      if (taskNumber < this.spec.tasks && (bits[i >> 3]! & (1 << (i & 7))) !== 0)
+        this.setFinished(taskNumber);
     }
   }
 
-  private setFinished(num: number): boolean {
-    if (this.isFinished(num)) return false;
-    this.finished[num >> 3]! |= 1 << (num & 7);
+  private setFinished(taskNumber: number): boolean {
+    if (this.isFinished(taskNumber)) return false;
+    this.finished[taskNumber >> 3]! |= 1 << (taskNumber & 7);
     this.finishedCount++;
-    if (!this.attempts.has(num)) this.waiting--;
+    if (!this.attempts.has(taskNumber)) this.waiting--;
     return true;
   }
 
-  finish(num: number, now: number): void {
-    if (num >= this.spec.tasks || !this.setFinished(num)) return;
-    const chunk = Math.floor(num / CHUNK);
+  finish(taskNumber: number, now: number): void {
+    if (taskNumber >= this.spec.tasks || !this.setFinished(taskNumber)) return;
+    const chunk = Math.floor(taskNumber / CHUNK);
     if (!this.dirty.has(chunk)) this.dirty.set(chunk, now);
   }
 
   /** A gang's tasks complete together: one that is done tells it of all. */
   finishAll(now: number): void {
-    for (let num = 0; num < this.spec.tasks; num++) this.finish(num, now);
+    for (let taskNumber = 0; taskNumber < this.spec.tasks; taskNumber++) this.finish(taskNumber, now);
   }
 
-  isDurable(num: number): boolean {
-    return this.ended === 'yes' || (this.isFinished(num) && !this.dirty.has(Math.floor(num / CHUNK)));
+  isDurable(taskNumber: number): boolean {
+    return (
+      this.ended === 'yes' || (this.isFinished(taskNumber) && !this.dirty.has(Math.floor(taskNumber / CHUNK)))
+    );
   }
 
   complete(): boolean {
@@ -93,38 +96,38 @@
   }
 
   addAttempt(e: TaskAttempt): void {
-    const list = this.attempts.get(e.num);
+    const list = this.attempts.get(e.taskNumber);
     if (list) {
       list.push(e);
       return;
     }
-    this.attempts.set(e.num, [e]);
-    if (!this.isFinished(e.num)) this.waiting--;
+    this.attempts.set(e.taskNumber, [e]);
+    if (!this.isFinished(e.taskNumber)) this.waiting--;
   }
 
   removeAttempt(e: TaskAttempt): void {
-    const list = this.attempts.get(e.num);
+    const list = this.attempts.get(e.taskNumber);
     const i = list?.indexOf(e) ?? -1;
     if (!list || i < 0) return;
     list.splice(i, 1);
     if (list.length > 0) return;
-    this.attempts.delete(e.num);
+    this.attempts.delete(e.taskNumber);
     if (this.attempts.size === 0) this.abandoned = false;
-    if (this.isFinished(e.num)) return;
+    if (this.isFinished(e.taskNumber)) return;
     this.waiting++;
-    if (e.num < this.cursor && !this.isReturned.has(e.num)) {
-      this.isReturned.add(e.num);
-      this.returned.push(e.num);
+    if (e.taskNumber < this.cursor && !this.isReturned.has(e.taskNumber)) {
+      this.isReturned.add(e.taskNumber);
+      this.returned.push(e.taskNumber);
     }
   }
 
   /** A task to start next, or -1. The caller holds it or gives it back by not taking it. */
   next(): number {
     while (this.returned.length > 0) {
-      const num = this.returned[this.returned.length - 1]!;
-      if (!this.isFinished(num) && !this.attempts.has(num)) return num;
+      const taskNumber = this.returned[this.returned.length - 1]!;
+      if (!this.isFinished(taskNumber) && !this.attempts.has(taskNumber)) return taskNumber;
       this.returned.pop();
-      this.isReturned.delete(num);
+      this.isReturned.delete(taskNumber);
     }
     while (this.cursor < this.spec.tasks) {
       if (!this.isFinished(this.cursor) && !this.attempts.has(this.cursor)) return this.cursor;
@@ -137,7 +140,7 @@
 /** The leader's live jobs. */
 export class JobTable {
   private readonly byId = new Map<string, Job>();
-  private nextIdx = 0;
+  private nextIndex = 0;
 
   all(): IterableIterator<Job> {
     return this.byId.values();
@@ -152,7 +155,7 @@
   }
 
   add(spec: JobSpec, version: number, at: number, fresh: boolean, now: number): Job {
-    const job = new Job(this.nextIdx++, spec, version, at, fresh, now);
+    const job = new Job(this.nextIndex++, spec, version, at, fresh, now);
     this.byId.set(spec.id, job);
     return job;
   }
--- /dev/null
+++ b/src/leadership/job-feed.ts
@@ -0,0 +1,89 @@
+/** Brings the stored jobs into the leader's tables, and follows their changes. */
+import { type World, sleep } from '../runtime.js';
+import { FINISHED, LIVE, unpackFinished } from '../jobs/records.js';
+import type { Job, JobTable } from '../jobs/job-table.js';
+import type { StateStore } from '../state-store/client.js';
+import type { Pair, WatchEvent } from '../wire/state.js';
+
+const WATCH_MS = 10_000;
+const RETRY_MS = 200;
+
+export interface JobFeedDeps {
+  world: World;
+  store: StateStore;
+  jobs: JobTable;
+  /** Does the leader's claim still stand? */
+  active(): boolean;
+  /** A live record, new or changed. */
+  stored(id: string, value: unknown, version: number): void;
+  /** The live record is gone. */
+  removed(job: Job): void;
+  /** Something has changed. */
+  changed(): void;
+}
+
+export class JobFeed {
+  constructor(private readonly deps: JobFeedDeps) {}
+
+  private take(pair: Pair): void {
+    this.deps.stored(pair.key.slice(LIVE.length), pair.value, pair.version);
+  }
+
+  /** The live jobs and their finished tasks, as read on taking over; records whose job has ended are told. */
+  load(
+    live: Pair[],
+    finished: Pair[],
+    written: (job: Job, chunk: number) => void,
+    leftOver: (key: string) => void,
+  ): void {
+    for (const pair of live) this.take(pair);
+    const liveKeys = new Set(live.map((pair) => pair.key));
+    for (const pair of finished) {
+      const [id, chunk] = pair.key.slice(FINISHED.length).split('/');
+      const job = this.deps.jobs.get(id!);
+      if (!job && !liveKeys.has(LIVE + id!)) leftOver(pair.key);
+      if (!job) continue;
+      written(job, Number(chunk));
+      job.loadFinished(Number(chunk), unpackFinished(pair.value));
+    }
+  }
+
+  async follow(since: number): Promise<void> {
+    const { store, world } = this.deps;
+    while (this.deps.active()) {
+      const answer = await store.watch(LIVE, since, WATCH_MS);
+      if (!this.deps.active()) return;
+      if (answer.kind === 'news') {
+        since = Math.max(since, answer.revision);
+        for (const event of answer.news) this.apply(event);
+        if (answer.news.length > 0) this.deps.changed();
+      } else if (answer.kind === 'refused') {
+        await sleep(world.clock, RETRY_MS);
+      } else {
+        since = (await this.reload()) ?? since;
+      }
+    }
+  }
+
+  private apply(event: WatchEvent): void {
+    const id = event.key.slice(LIVE.length);
+    if (!event.gone) {
+      this.deps.stored(id, event.value, event.version);
+      return;
+    }
+    const job = this.deps.jobs.get(id);
+    if (job && job.version < event.version) this.deps.removed(job);
+  }
+
+  /** The changes since are not kept any more: everything is read again. */
+  private async reload(): Promise<number | null> {
+    const all = await this.deps.store.scan(LIVE);
+    if (!all) return null;
+    const live = new Set(all.pairs.map((pair) => pair.key));
+    for (const job of [...this.deps.jobs.all()])
+      if (!live.has(LIVE + job.spec.id) && job.version <= all.revision) this.deps.removed(job);
+    for (const pair of all.pairs) this.take(pair);
+    this.deps.changed();
+    return all.revision;
+  }
+}
--- a/src/leadership/leader-term.ts
+++ b/src/leadership/leader-term.ts
@@ -6,20 +6,23 @@
 import { shareSockets } from '../sockets.js';
 import type { StateStore } from '../state-store/client.js';
 import { Cloud } from '../fleet/cloud.js';
+import { demandOf } from '../fleet/demand.js';
 import { Fleet } from '../fleet/fleet.js';
 import type { Demand } from '../fleet/plan.js';
 import { type Job, JobTable } from '../jobs/job-table.js';
 import type { Progress } from '../jobs/api.js';
 import { CompletionWriter } from '../jobs/completion-writer.js';
-import { FINISHED, LIVE, readLive, unpackFinished } from '../jobs/records.js';
+import { FINISHED, LIVE, readLive } from '../jobs/records.js';
 import { Placement } from '../placement/placement.js';
 import { MachineRecordStore, readMachinePage } from '../workers/machine-records.js';
 import { CommandSender, commandsForReport } from '../workers/commands.js';
 import { type Machine } from '../workers/machine.js';
 import { MachineTable } from '../workers/machine-table.js';
 import type { MachineType, WorkerCommand, WorkerReport } from '../wire/model.js';
-import type { Guard, WatchEvent } from '../wire/messages.js';
+import type { Guard } from '../wire/state.js';
 import { LeaseExtensionGrants, leaseExtensionMs } from './lease-extension.js';
+import { JobFeed } from './job-feed.js';
+import { Takeover } from './takeover.js';
 import { type Claim, TOKEN_SPAN } from './leadership.js';
 
 export interface LeaderTermDeps {
@@ -41,7 +44,6 @@
 const TICK_MS = 200;
 /** For so long after we were behind, answers may still wait unread: silence then says nothing of machines. */
 const BEHIND_MS = 2500;
-const WATCH_MS = 10_000;
 /** With this many machines, no report at all for QUIET_MS means that we are cut off from them. */
 const MANY = 30;
 const QUIET_MS = 3500;
@@ -66,9 +68,9 @@
   private tickedAt: number;
   /** When we were last behind our own timers. */
   private behindAt = -Infinity;
-  private toldWaitingAt = -Infinity;
   private heardAt: number;
-  private everyoneKnown = false;
+  private readonly takeover: Takeover;
+  private readonly feed: JobFeed;
   private readonly leaseExtensionMs: number;
   private readonly grants: LeaseExtensionGrants;
 
@@ -90,6 +92,16 @@
         this.wake();
       },
     });
+    this.takeover = new Takeover(this.table, world.log, () => this.jobs.size());
+    this.feed = new JobFeed({
+      world,
+      store,
+      jobs: this.jobs,
+      active: () => this.state === 'serving',
+      stored: (id, value, version) => this.takeJob(id, value, version),
+      removed: (job) => this.jobRemoved(job),
+      changed: () => this.wake(),
+    });
     this.sender = new CommandSender({
       world,
       table: this.table,
@@ -117,7 +129,7 @@
       writeRps: settings.stateWriteRps,
       leads,
       leaderGuard: deps.guard,
-      surelyEmpty: (job) => (job.fresh || this.everyoneKnown) && job.attempts.size === 0,
+      surelyEmpty: (job) => (job.fresh || this.takeover.isComplete()) && job.attempts.size === 0,
       ended: (job) => this.close(job),
     });
     this.fleet = new Fleet({
@@ -150,7 +162,7 @@
       jobs: this.jobs,
       table: this.table,
       attemptBase: this.baseToken,
-      oldJobsOpen: () => this.everyoneKnown,
+      oldJobsOpen: () => this.takeover.isComplete(),
       wallMs: deps.wallMs,
       isSilent: (m) => this.fleet.isSilent(m, world.clock.now()),
     });
@@ -197,23 +209,19 @@
           m.suspect = true;
         }
       }
-      for (const p of jobs.pairs) this.takeJob(p.key.slice(LIVE.length), p.value, p.version);
-      const live = new Set(jobs.pairs.map((p) => p.key));
-      for (const p of finished.pairs) {
-        const [id, chunk] = p.key.slice(FINISHED.length).split('/');
-        const job = this.jobs.get(id!);
-        if (!job && !live.has(LIVE + id!)) this.completionWriter.leftOver(p.key);
-        if (!job) continue;
-        this.completionWriter.noteWritten(job, Number(chunk));
-        job.loadFinished(Number(chunk), unpackFinished(p.value));
-      }
+      this.feed.load(
+        jobs.pairs,
+        finished.pairs,
+        (job, chunk) => this.completionWriter.noteWritten(job, chunk),
+        (key) => this.completionWriter.leftOver(key),
+      );
       since = jobs.revision;
     }
     if (this.state !== 'rebuilding') return;
     this.become('serving');
     this.heardAt = world.clock.now();
     for (const m of this.table.all()) this.sender.flush(m, true);
-    void this.watchJobs(since);
+    void this.feed.follow(since);
     this.tick();
   }
 
@@ -229,40 +237,6 @@
     if (r.cancelled || this.deps.isCancelled(id)) this.markCancelled(job);
   }
 
-  private async watchJobs(since: number): Promise<void> {
-    const { store, world } = this.deps;
-    while (this.state === 'serving') {
-      const w = await store.watch(LIVE, since, WATCH_MS);
-      if (this.state !== 'serving') return;
-      if (w.kind === 'news') {
-        since = Math.max(since, w.revision);
-        for (const n of w.news) this.applyWatchEvent(n);
-        if (w.news.length > 0) this.wake();
-      } else if (w.kind === 'refused') {
-        await sleep(world.clock, 200);
-      } else {
-        const all = await store.scan(LIVE);
-        if (!all) continue;
-        const live = new Set(all.pairs.map((p) => p.key));
-        for (const job of [...this.jobs.all()])
-          if (!live.has(LIVE + job.spec.id) && job.version <= all.revision) this.jobRemoved(job);
-        for (const p of all.pairs) this.takeJob(p.key.slice(LIVE.length), p.value, p.version);
-        since = all.revision;
-        this.wake();
-      }
-    }
-  }
-
-  private applyWatchEvent(n: WatchEvent): void {
-    const id = n.key.slice(LIVE.length);
-    if (!n.gone) {
-      this.takeJob(id, n.value, n.version);
-      return;
-    }
-    const job = this.jobs.get(id);
-    if (job && job.version < n.version) this.jobRemoved(job);
-  }
-
   /** Only a leader removes live records, once all is done: here our own write, whose answer was lost. */
   private jobRemoved(job: Job): void {
     job.ended = 'yes';
@@ -278,32 +252,8 @@
   }
 
   private demand(): Demand {
-    let [ordinary, any] = [0, 0];
-    const waiting: Job[] = [];
-    for (const job of this.jobs.all()) {
-      if (job.cancelled) continue;
-      const cpus = this.placement.wantedCpus(job);
-      if (job.spec.spot) any += cpus;
-      else ordinary += cpus;
-      waiting.push(job);
-    }
-    const usable = (t: MachineType): boolean =>
-      waiting.some(
-        ({ spec: s }) =>
-          (s.types === null || s.types.includes(t.name)) &&
-          s.cpus <= t.cpus &&
-          s.gpus <= t.gpus &&
-          s.memoryGb <= t.memoryGb,
-      );
-    const bootS = 1.3 * Math.max(...this.deps.types.map((t) => t.bootS));
-    return {
-      ordinary,
-      any,
-      usable,
-      arriving: this.placement.arriving(),
-      bootS,
-      biggestCpus: Math.max(...this.deps.types.map((t) => t.cpus)),
-    };
+    const wanted = (job: Job): number => this.placement.wantedCpus(job);
+    return demandOf(this.jobs.all(), wanted, this.placement.arriving(), this.deps.types);
   }
 
   /**
@@ -344,7 +294,7 @@
           this.registry.removed(m);
         }
       }
-      this.checkEveryone();
+      this.checkTakeover();
       this.registry.tick();
       this.completionWriter.tick();
       this.fleet.tick();
@@ -374,34 +324,8 @@
     return n;
   }
 
-  /** Old jobs are acted on once every machine stored before our claim has spoken, is gone, or is past its lease. */
-  private checkEveryone(): void {
-    if (this.everyoneKnown) return;
-    let waiting = 0;
-    for (const m of this.table.all()) {
-      if (m.suspect && m.certain()) m.suspect = false;
-      if (m.suspect) waiting++;
-    }
-    if (waiting > 0) {
-      this.tellWaiting(waiting);
-      return;
-    }
-    this.everyoneKnown = true;
-    this.deps.world.log.info(
-      { machines: this.table.size(), jobs: this.jobs.size() },
-      'every machine is known',
-    );
-    this.wake();
-  }
-
-  /** What a takeover still waits for, for the log. */
-  private tellWaiting(machines: number): void {
-    const now = this.deps.world.clock.now();
-    if (now - this.toldWaitingAt < 1000) return;
-    this.toldWaitingAt = now;
-    const some = [...this.table.all()].filter((m) => m.suspect).slice(0, 5);
-    const unanswered = some.map((m) => `${m.id}:${m.commandFailures}`);
-    this.deps.world.log.info({ machines, of: this.table.size(), some: unanswered }, 'waiting for machines');
+  private checkTakeover(): void {
+    if (this.takeover.check(this.deps.world.clock.now())) this.wake();
   }
 
   private applyReport(m: Machine, r: WorkerReport): void {
@@ -413,7 +337,7 @@
     const wasUsable = m.certain();
     this.table.apply(m, r, now);
     this.placement.reported(m);
-    if (!this.everyoneKnown) this.checkEveryone();
+    this.checkTakeover();
     // Room that was freed has woken us already: see `left`.
     if (!wasUsable && m.certain()) this.wake();
   }
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -2,7 +2,7 @@
 import { DRIFT, type World, sleep } from '../runtime.js';
 import type { StateStore } from '../state-store/client.js';
 import { isMap } from '../wire/cbor.js';
-import type { Guard, Pair } from '../wire/messages.js';
+import type { Guard, Pair } from '../wire/state.js';
 
 const KEY = 'leader';
 /** Tokens leave this much room below the claim's revision, for raising the token of one machine. */
--- a/src/node.ts
+++ b/src/node.ts
@@ -13,7 +13,8 @@
 import type { PeerMessage } from './peers/peers.js';
 import { StateStore } from './state-store/client.js';
 import type { Body } from './wire/cbor.js';
-import { catalogBody, readReport, readTypes, redirectBody, reportAnswer } from './wire/messages.js';
+import { catalogBody, readTypes } from './wire/cloud.js';
+import { readReport, redirectBody, reportAnswer } from './wire/workers.js';
 import type { MachineType, WorkerCommand, WorkerReport } from './wire/model.js';
 
 const TYPES_KEY = 'catalog';
--- a/src/placement/choose.ts
+++ b/src/placement/choose.ts
@@ -136,7 +136,7 @@
   private score(m: Machine): number {
     const { job, ctx } = this;
     const s = job.spec;
-    if (!allowedOn(s, m) || job.failedOn.has(m.idx)) return Infinity;
+    if (!allowedOn(s, m) || job.failedOn.has(m.index)) return Infinity;
     const victims = victimsFor(job, m, ctx);
     if (!victims) return Infinity;
     const freeShare = m.freeCpus() / m.type.cpus;
--- a/src/placement/failures.ts
+++ b/src/placement/failures.ts
@@ -16,10 +16,10 @@
 /** Notes a failure; true if the machine has turned out to be faulty. */
 export function noteFailure(job: Job, machine: Machine, table: MachineTable, now: number): boolean {
   job.failures++;
-  job.failedOn.add(machine.idx);
-  machine.failedJobs.add(job.idx);
+  job.failedOn.add(machine.index);
+  machine.failedJobs.add(job.index);
   if (job.failedOn.size >= MACHINES_BEFORE_JOB_IS_AT_FAULT) {
-    for (const m of table.all()) m.failedJobs.delete(job.idx);
+    for (const m of table.all()) m.failedJobs.delete(job.index);
     job.failedOn.clear();
   }
   const delay = FIRST_RETRY_MS * 2 ** Math.min(job.failures, MAX_DOUBLINGS);
@@ -31,7 +31,7 @@
 
 /** A task of the job succeeded there. */
 export function noteSuccess(job: Job, machine: Machine): void {
-  machine.failedJobs.delete(job.idx);
+  machine.failedJobs.delete(job.index);
   job.failedOn.clear();
   job.failures = 0;
 }
--- a/src/placement/gang-scheduler.ts
+++ b/src/placement/gang-scheduler.ts
@@ -84,7 +84,7 @@
     const tasks = missingTasks(job);
     if (!this.fitsTeamLimit(job, tasks.length, options.unseen)) return 'not-now';
     const attempt = gangAttempt(job) ?? this.deps.nextAttempt();
-    const allowed = options.machines.filter((m) => allowedOn(job.spec, m) && !job.failedOn.has(m.idx));
+    const allowed = options.machines.filter((m) => allowedOn(job.spec, m) && !job.failedOn.has(m.index));
     for (const group of job.spec.oneZone ? zonesInTurn(job, allowed) : [allowed]) {
       const room = group.reduce((sum, machine) => sum + slots(job, machine), 0);
       if (!options.mayPreempt && room < tasks.length) continue;
@@ -99,7 +99,7 @@
 
   /** Keeps machines from other jobs until the gang fits on them. */
   reserve(job: Job, machines: Machine[]): void {
-    const allowed = machines.filter((m) => allowedOn(job.spec, m) && !job.failedOn.has(m.idx));
+    const allowed = machines.filter((m) => allowedOn(job.spec, m) && !job.failedOn.has(m.index));
     this.deps.reservations.reserveMachines(job, allowed, this.deps.now());
   }
 
--- a/src/placement/gangs.ts
+++ b/src/placement/gangs.ts
@@ -33,7 +33,8 @@
 /** Numbers of the tasks that are on no machine. */
 export function missingTasks(job: Job): number[] {
   const missing: number[] = [];
-  for (let num = 0; num < job.spec.tasks; num++) if (!job.attempts.has(num)) missing.push(num);
+  for (let taskNumber = 0; taskNumber < job.spec.tasks; taskNumber++)
+    if (!job.attempts.has(taskNumber)) missing.push(taskNumber);
   return missing;
 }
 
--- a/src/placement/order.ts
+++ b/src/placement/order.ts
@@ -7,7 +7,9 @@
 export function withinGuarantee(jobs: Iterable<Job>, quota: TeamUsage): Set<Job> {
   const used = new Map<string, number>();
   const out = new Set<Job>();
-  const byAge = [...jobs].filter((j) => !j.cancelled).sort((a, b) => a.at - b.at || a.idx - b.idx);
+  const byAge = [...jobs]
+    .filter((j) => !j.cancelled)
+    .sort((a, b) => a.acceptedAt - b.acceptedAt || a.index - b.index);
   for (const j of byAge) {
     const team = quota.team(j.spec.team);
     if (!team) continue;
@@ -55,7 +57,7 @@
 ): Urgency {
   const times = j.spec.deadlineS !== null ? [j.spec.deadlineS] : (goals.get(j.spec.cls) ?? []);
   const end = wallMs + HOPE * expectedMs;
-  const goal = times.findIndex((t) => j.at + t * 1000 >= end);
+  const goal = times.findIndex((t) => j.acceptedAt + t * 1000 >= end);
   if (starved) return { goal: -1, work: 0 };
   return { goal: goal < 0 ? times.length : goal, work: j.pending() * j.spec.cpus * expectedMs };
 }
@@ -68,5 +70,7 @@
     const [x, y] = [known.get(a)!, known.get(b)!];
     return x.goal - y.goal || x.work - y.work;
   };
-  return [...jobs].sort((a, b) => rank(a) - rank(b) || byUrgency(a, b) || a.at - b.at || a.idx - b.idx);
+  return [...jobs].sort(
+    (a, b) => rank(a) - rank(b) || byUrgency(a, b) || a.acceptedAt - b.acceptedAt || a.index - b.index,
+  );
 }
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -158,12 +158,12 @@
       const ms = now - attempt.runningSince;
       this.runTimes.record(spec.cls, ms, spec.estimateS * 1000);
       // A gang runs at the speed of its slowest machine, which tells nothing of the others.
-      if (spec.kind === 'array') this.timings.record(job.idx, attempt.machine.idx, ms);
+      if (spec.kind === 'array') this.timings.record(job.index, attempt.machine.index, ms);
     }
     noteSuccess(job, attempt.machine);
     if (job.cancelled) return;
     if (spec.kind === 'gang') job.finishAll(now);
-    else job.finish(attempt.num, now);
+    else job.finish(attempt.taskNumber, now);
   }
 
   reported(machine: Machine): void {
@@ -182,9 +182,9 @@
     const { job, machine } = attempt;
     if (!job) return 'no such job';
     if (job.cancelled) return 'cancelled';
-    if (job.isFinished(attempt.num) && job.spec.kind !== 'gang') return 'finished elsewhere';
+    if (job.isFinished(attempt.taskNumber) && job.spec.kind !== 'gang') return 'finished elsewhere';
     // A late report of a machine that is gone shows a copy, too: only one that obeys us proves anything.
-    const copies = job.attempts.get(attempt.num);
+    const copies = job.attempts.get(attempt.taskNumber);
     const first = copies && copies.length > 1 ? copies[0]! : attempt;
     return first !== attempt && first.machine.certain() && machine.certain() ? 'second copy' : null;
   }
@@ -195,8 +195,12 @@
   }
 
   ended(job: Job): void {
-    this.endedJobs.push(job.idx);
-    trimTimings(this.timings, (idx) => [...this.deps.jobs.all()].some((j) => j.idx === idx), this.endedJobs);
+    this.endedJobs.push(job.index);
+    trimTimings(
+      this.timings,
+      (index) => [...this.deps.jobs.all()].some((j) => j.index === index),
+      this.endedJobs,
+    );
   }
 
   private stop(attempt: TaskAttempt, graceS: number, reason: string): void {
@@ -336,7 +340,7 @@
 
   private urgencyOf(job: Job, pass: Pass): Urgency {
     const { cls, estimateS } = job.spec;
-    const expected = this.timings.usual(job.idx) ?? this.runTimes.expected(cls, estimateS * 1000);
+    const expected = this.timings.usual(job.index) ?? this.runTimes.expected(cls, estimateS * 1000);
     const first = this.starved(job, pass.wallMs) || this.gangs.isOverdue(job);
     return urgency(job, this.goals, expected, pass.wallMs, first);
   }
@@ -410,13 +414,13 @@
 
   /** Places the job's next task; null if no machine takes it. */
   private startNext(job: Job, candidates: Candidates, pass: Pass): Machine | null {
-    const num = job.next();
-    const choice = num < 0 ? null : candidates.best();
+    const taskNumber = job.next();
+    const choice = taskNumber < 0 ? null : candidates.best();
     if (!choice) return null;
     const { machine, victims } = choice;
     for (const victim of victims) this.stop(victim, 0, 'preempted');
     job.startedAt = pass.now;
-    this.deps.table.hold(machine, job.spec.id, job, num, this.nextAttempt(), pass.now);
+    this.deps.table.hold(machine, job.spec.id, job, taskNumber, this.nextAttempt(), pass.now);
     candidates.placed(machine);
     if (!machine.spot) pass.ordinarySpare -= job.spec.cpus;
     this.work.starts++;
@@ -427,7 +431,7 @@
   /** Nothing of it has begun for long: streams of smaller jobs must not keep a large one out for ever. */
   private starved(job: Job, wallMs: number): boolean {
     if (job.spec.kind !== 'array' || job.attempts.size > 0 || job.finishedCount > 0) return false;
-    return wallMs - job.at > STARVED_MS;
+    return wallMs - job.acceptedAt > STARVED_MS;
   }
 
   /** Machines that may be given work: those with room for some waiting task, and those without. */
--- a/src/placement/quota.ts
+++ b/src/placement/quota.ts
@@ -3,18 +3,18 @@
 
 /** What each team may have on machines, everything counted that may still be there. */
 export class TeamUsage {
-  private readonly idx = new Map<string, number>();
+  private readonly index = new Map<string, number>();
   private readonly cpus: Float64Array;
   private readonly gpus: Float64Array;
 
   constructor(private readonly teams: Team[]) {
-    teams.forEach((t, i) => this.idx.set(t.name, i));
+    teams.forEach((t, i) => this.index.set(t.name, i));
     this.cpus = new Float64Array(teams.length);
     this.gpus = new Float64Array(teams.length);
   }
 
   private add(spec: JobSpec, sign: number): void {
-    const i = this.idx.get(spec.team);
+    const i = this.index.get(spec.team);
     if (i === undefined) return;
     this.cpus[i]! += sign * spec.cpus;
     this.gpus[i]! += sign * spec.gpus;
@@ -29,7 +29,7 @@
 
   /** `keep…`: room under the limits that this start must leave. A team no longer in the settings has none. */
   allows(spec: JobSpec, keepCpus = 0, keepGpus = 0): boolean {
-    const i = this.idx.get(spec.team);
+    const i = this.index.get(spec.team);
     if (i === undefined) return false;
     const t = this.teams[i]!;
     return (
@@ -39,12 +39,12 @@
   }
 
   team(name: string): Team | undefined {
-    const i = this.idx.get(name);
+    const i = this.index.get(name);
     return i === undefined ? undefined : this.teams[i];
   }
 
   usedCpus(name: string): number {
-    return this.cpus[this.idx.get(name) ?? -1] ?? 0;
+    return this.cpus[this.index.get(name) ?? -1] ?? 0;
   }
 
   /** Beyond its guarantee: what it borrows can be taken back. */
--- a/src/placement/rebalancer.ts
+++ b/src/placement/rebalancer.ts
@@ -41,7 +41,7 @@
     const { table, timings, operator, log } = this.deps;
     const slowOnes = slowMachines(timings, operator.slowness_ratio, operator.slowness_jobs);
     for (const machine of table.all()) {
-      const slow = slowOnes.has(machine.idx);
+      const slow = slowOnes.has(machine.index);
       if (slow !== machine.slow) log.info({ id: machine.id, slow }, 'machine speed');
       machine.slow = slow;
     }
@@ -67,7 +67,7 @@
       return true;
     }
     if (!this.mostIdle(job)) return false;
-    job.moved.add(attempt.num);
+    job.moved.add(attempt.taskNumber);
     this.deps.stop(attempt, job.spec.checkpointS > 0 ? job.spec.saveS : 0, 'moved off a slow machine');
     return true;
   }
@@ -87,7 +87,7 @@
   private usualMs(job: Job): number | null {
     return job.spec.kind === 'gang'
       ? this.deps.runTimes.usual(job.spec.cls)
-      : this.deps.timings.usual(job.idx);
+      : this.deps.timings.usual(job.index);
   }
 
   /** Usual run time left of a task, in milliseconds; null if nothing is known. */
--- a/src/placement/stragglers.ts
+++ b/src/placement/stragglers.ts
@@ -112,7 +112,7 @@
       e.state !== 'running' ||
       e.runningSince === 0 ||
       e.stop ||
-      job.moved.has(e.num)
+      job.moved.has(e.taskNumber)
     )
       continue;
     const usual = usualOf(job);
--- a/src/state-store/client.ts
+++ b/src/state-store/client.ts
@@ -5,7 +5,6 @@
   type WatchEvent,
   type Pair,
   leaseBody,
-  paths,
   readFailed,
   readLease,
   readWatchEvents,
@@ -13,7 +12,8 @@
   readPairs,
   readRevision,
   txnBody,
-} from '../wire/messages.js';
+  statePaths,
+} from '../wire/state.js';
 import { Bucket } from './budget.js';
 
 /** `refused`: surely not executed. `invalid`: nor will it ever be, as it is. `unknown`: no answer, so it may have been executed, or may still be. */
@@ -79,7 +79,7 @@
 
   async get(key: string): Promise<Read> {
     if (!this.reads.take()) return { kind: 'refused' };
-    const r = await this.send('GET', paths.key(key), null);
+    const r = await this.send('GET', statePaths.key(key), null);
     if (r.status === 404) return { kind: 'absent', revision: readRevision(r.body) };
     const pair = r.status === 200 ? readPair(r.body) : null;
     return pair ? { kind: 'found', pair } : { kind: 'refused' };
@@ -91,7 +91,7 @@
     let revision = -1;
     for (let after = ''; ;) {
       this.reads.force();
-      const r = await this.send('GET', paths.scan(prefix, after), null);
+      const r = await this.send('GET', statePaths.scan(prefix, after), null);
       const page = r.status === 200 ? readPairs(r.body) : null;
       if (!page) return null;
       if (revision < 0) revision = page.revision;
@@ -109,7 +109,7 @@
     } else if (!this.writes.take(changes.length) || !this.reads.take()) {
       return { kind: 'refused' };
     }
-    const r = await this.send('POST', paths.txn, txnBody(guards, changes));
+    const r = await this.send('POST', statePaths.txn, txnBody(guards, changes));
     if (r.status === 200) return { kind: 'applied', revision: readRevision(r.body) };
     if (r.status === 409) return { kind: 'conflict', failed: readFailed(r.body) };
     if (r.status === 400) {
@@ -121,19 +121,19 @@
 
   async openLease(ttlMs: number): Promise<number | null> {
     this.reads.force();
-    const r = await this.send('POST', paths.leases, leaseBody(ttlMs));
+    const r = await this.send('POST', statePaths.leases, leaseBody(ttlMs));
     return r.status === 200 ? (readLease(r.body) ?? null) : null;
   }
 
   async renewLease(lease: number, ttlMs: number, timeoutMs: number): Promise<'kept' | 'ended' | 'unknown'> {
     this.reads.force();
-    const r = await this.send('POST', paths.renew(lease), leaseBody(ttlMs), timeoutMs);
+    const r = await this.send('POST', statePaths.renew(lease), leaseBody(ttlMs), timeoutMs);
     return r.status === 200 ? 'kept' : r.status === 404 ? 'ended' : 'unknown';
   }
 
   async endLease(lease: number): Promise<boolean> {
     this.reads.force();
-    const r = await this.send('DELETE', paths.lease(lease), null);
+    const r = await this.send('DELETE', statePaths.lease(lease), null);
     return r.status === 200 || r.status === 204 || r.status === 404;
   }
 
@@ -144,7 +144,7 @@
     timeoutMs = waitMs + 3000,
   ): Promise<WatchResult> {
     this.reads.force();
-    const r = await this.send('GET', paths.watch(prefix, after, waitMs), null, timeoutMs);
+    const r = await this.send('GET', statePaths.watch(prefix, after, waitMs), null, timeoutMs);
     if (r.status === 410) return { kind: 'too-old' };
     const n = r.status === 200 ? readWatchEvents(r.body) : null;
     return n ? { kind: 'news', ...n } : { kind: 'refused' };
--- a/src/wire/model.ts
+++ b/src/wire/model.ts
@@ -50,7 +50,7 @@
 
 export interface TaskReport {
   job: string;
-  num: number;
+  taskNumber: number;
   attempt: number;
   state: TaskState;
   cause: ExitCause | null;
@@ -70,9 +70,9 @@
 }
 
 export type WorkerCommand =
-  | { op: 'start'; job: string; num: number; attempt: number }
-  | { op: 'stop'; job: string; num: number; attempt: number; graceS: number }
-  | { op: 'forget'; job: string; num: number; attempt: number };
+  | { op: 'start'; job: string; taskNumber: number; attempt: number }
+  | { op: 'stop'; job: string; taskNumber: number; attempt: number; graceS: number }
+  | { op: 'forget'; job: string; taskNumber: number; attempt: number };
 
 export type ListedState = 'booting' | 'running' | 'failed';
 export interface ListedMachine {
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -1,6 +1,6 @@
 import type { World } from '../runtime.js';
 import type { WorkerCommand, WorkerReport } from '../wire/model.js';
-import { commandBody, paths, readReport } from '../wire/messages.js';
+import { commandBody, readReport, workerPaths } from '../wire/workers.js';
 import type { Machine } from './machine.js';
 import type { MachineTable } from './machine-table.js';
 import type { TaskAttempt } from './task-attempt.js';
@@ -23,8 +23,8 @@
 /** An empty request costs nothing if it is answered late, so that it need not be waited for as long. */
 const PROBE_MS = 900;
 
-function refOf(e: TaskAttempt): { job: string; num: number; attempt: number } {
-  return { job: e.jobId, num: e.num, attempt: e.attempt };
+function refOf(e: TaskAttempt): { job: string; taskNumber: number; attempt: number } {
+  return { job: e.jobId, taskNumber: e.taskNumber, attempt: e.attempt };
 }
 
 /**
@@ -46,7 +46,7 @@
   const out: WorkerCommand[] = [];
   for (const e of m.attempts.values()) {
     if (e.state !== 'exited' || e.open || now - e.forgetSentAt < REPEAT_MS) continue;
-    if (e.cause === 'done' && e.job && !e.job.isDurable(e.num)) continue;
+    if (e.cause === 'done' && e.job && !e.job.isDurable(e.taskNumber)) continue;
     e.forgetSentAt = now;
     out.push({ op: 'forget', ...refOf(e) });
   }
@@ -134,7 +134,7 @@
       .send(
         m.endpoint,
         'POST',
-        paths.commands,
+        workerPaths.commands,
         commandBody(table.token(m), session, [...forgets, ...orders]),
         orders.length === 0 ? Math.min(PROBE_MS, this.deps.timeoutMs) : this.deps.timeoutMs,
       )
--- a/src/workers/machine-records.ts
+++ b/src/workers/machine-records.ts
@@ -1,7 +1,7 @@
 import { type World, sleep } from '../runtime.js';
 import type { StateStore } from '../state-store/client.js';
 import { isMap } from '../wire/cbor.js';
-import type { Change, Guard, Pair } from '../wire/messages.js';
+import type { Change, Guard, Pair } from '../wire/state.js';
 import type { Machine } from './machine.js';
 import type { MachineTable } from './machine-table.js';
 
--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -24,12 +24,13 @@
   else fetching.delete(e.job.spec.image);
 }
 
-const attemptKey = (job: string, num: number, attempt: number): string => `${job}/${num}/${attempt}`;
+const attemptKey = (job: string, taskNumber: number, attempt: number): string =>
+  `${job}/${taskNumber}/${attempt}`;
 
 /** The machine table and, on it, which tasks may be where: the paper's partition table, rebuilt from reports. */
 export class MachineTable {
   private readonly byId = new Map<string, Machine>();
-  private nextIdx = 0;
+  private nextIndex = 0;
   /** Machines with orders to send at once; and all that have orders outstanding, to be looked at now and then. */
   readonly hot = new Set<Machine>();
   readonly due = new Set<Machine>();
@@ -52,7 +53,7 @@
   }
 
   add(id: string, endpoint: string, type: MachineType, zone: string, spot: boolean, now: number): Machine {
-    const m = new Machine(this.nextIdx++, id, endpoint, type, zone, spot, this.baseToken, now);
+    const m = new Machine(this.nextIndex++, id, endpoint, type, zone, spot, this.baseToken, now);
     this.byId.set(id, m);
     return m;
   }
@@ -66,9 +67,16 @@
     return this.token(m);
   }
 
-  hold(m: Machine, jobId: string, job: Job | null, num: number, attempt: number, now: number): TaskAttempt {
-    const e = new TaskAttempt(m, jobId, job, num, attempt, now);
-    m.attempts.set(attemptKey(jobId, num, attempt), e);
+  hold(
+    m: Machine,
+    jobId: string,
+    job: Job | null,
+    taskNumber: number,
+    attempt: number,
+    now: number,
+  ): TaskAttempt {
+    const e = new TaskAttempt(m, jobId, job, taskNumber, attempt, now);
+    m.attempts.set(attemptKey(jobId, taskNumber, attempt), e);
     this.occupy(e, 1);
     this.events.attemptAdded(e);
     this.mark(m);
@@ -141,7 +149,7 @@
 
   /** Surely not on the machine: never executed, killed with its session, or the machine is gone. */
   drop(e: TaskAttempt, now: number): void {
-    e.machine.attempts.delete(attemptKey(e.jobId, e.num, e.attempt));
+    e.machine.attempts.delete(attemptKey(e.jobId, e.taskNumber, e.attempt));
     if (e.onMachine()) {
       if (e.state === 'running' && e.job) e.job.running--;
       this.occupy(e, -1);
@@ -180,11 +188,11 @@
     m.noticeUntil = r.noticeS === null ? null : now + r.noticeS * 1000;
     const seen = new Set<string>();
     for (const t of r.tasks) {
-      const key = attemptKey(t.job, t.num, t.attempt);
+      const key = attemptKey(t.job, t.taskNumber, t.attempt);
       seen.add(key);
       let e = m.attempts.get(key);
       if (!e) {
-        e = this.hold(m, t.job, this.findJob(t.job) ?? null, t.num, t.attempt, now);
+        e = this.hold(m, t.job, this.findJob(t.job) ?? null, t.taskNumber, t.attempt, now);
         e.sent = true;
         e.found = t.state !== 'fetching' && t.state !== 'waiting';
       }
--- a/src/workers/machine.ts
+++ b/src/workers/machine.ts
@@ -57,7 +57,7 @@
   expired = false;
 
   constructor(
-    readonly idx: number,
+    readonly index: number,
     readonly id: string,
     public endpoint: string,
     readonly type: MachineType,
--- a/src/workers/task-attempt.ts
+++ b/src/workers/task-attempt.ts
@@ -52,7 +52,7 @@
     readonly jobId: string,
     /** Null: the job is not among the live ones. */
     readonly job: Job | null,
-    readonly num: number,
+    readonly taskNumber: number,
     readonly attempt: number,
     readonly createdAt: number,
   ) {}
--- a/test/api.test.ts
+++ b/test/api.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { readJob, readReport } from '../src/wire/messages.js';
+import { readJob } from '../src/wire/users.js';
+import { readReport } from '../src/wire/workers.js';
 import { decodeMap, encode, narrow, wide } from '../src/wire/cbor.js';
 import { Cluster } from './sim/cluster.js';
 import { jobFacts } from './sim/rules.js';
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -272,7 +272,7 @@
 test('a task that was found running is not timed: its start is not known', () => {
   const b = new Bed(1);
   const m = b.table.get('a0')!;
-  const task = { job: 'run-1', num: 0, attempt: 1, cause: null };
+  const task = { job: 'run-1', taskNumber: 0, attempt: 1, cause: null };
   const r = {
     machine: 'a0',
     endpoint: 'a0:1',
@@ -285,7 +285,7 @@
   };
   b.table.apply(m, { ...r, seq: 1, tasks: [{ ...task, state: 'running' }] }, 1000);
   assert.equal([...m.attempts.values()][0]!.runningSince, 0);
-  b.table.apply(m, { ...r, seq: 2, tasks: [{ ...task, num: 1, state: 'fetching' }] }, 2000);
-  b.table.apply(m, { ...r, seq: 3, tasks: [{ ...task, num: 1, state: 'running' }] }, 3000);
+  b.table.apply(m, { ...r, seq: 2, tasks: [{ ...task, taskNumber: 1, state: 'fetching' }] }, 2000);
+  b.table.apply(m, { ...r, seq: 3, tasks: [{ ...task, taskNumber: 1, state: 'running' }] }, 3000);
   assert.equal([...m.attempts.values()][0]!.runningSince, 3000);
 });
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -48,7 +48,7 @@
       (n, list) => {
         const a = new Job(0, spec({ tasks: n }), 1, 0, true, 0);
         const b = new Job(1, spec({ tasks: n }), 1, 0, true, 0);
-        for (const num of list) a.finish(num, 0);
+        for (const taskNumber of list) a.finish(taskNumber, 0);
         for (let c = 0; c * CHUNK < n; c++) b.loadFinished(c, unpackFinished(packFinished(a.finished, c)));
         assert.deepEqual(b.finished, a.finished);
         assert.equal(b.finishedCount, new Set(list.filter((x) => x < n)).size);
@@ -61,7 +61,7 @@
 
 test('a job may use the machines again on which it failed, once it has waited for a while', () => {
   const job = new Job(0, spec(), 1, 0, true, 0);
-  const machine = { idx: 4, failedJobs: new Set<number>(), draining: null } as unknown as Machine;
+  const machine = { index: 4, failedJobs: new Set<number>(), draining: null } as unknown as Machine;
   const table = { all: () => [machine].values() } as unknown as MachineTable;
   assert.equal(noteFailure(job, machine, table, 1000), false);
   assert.ok(job.notBefore > 1000 && job.failedOn.has(4));
--- a/test/sim/gang-coordinator.ts
+++ b/test/sim/gang-coordinator.ts
@@ -46,7 +46,7 @@
     return this.gangs.size;
   }
 
-  arrive(job: JobFacts, attempt: number, num: number, member: Member): void {
+  arrive(job: JobFacts, attempt: number, taskNumber: number, member: Member): void {
     const key = `${job.spec.id as string}#${attempt}`;
     let g = this.gangs.get(key);
     if (!g) {
@@ -62,10 +62,11 @@
       this.gangs.set(key, g);
     }
     const gang = g;
-    gang.members.set(num, member);
+    gang.members.set(taskNumber, member);
     this.clock.after(GANG_WAIT_MS, () => {
       const waits = gang.state !== 'running' && gang.state !== 'stopping';
-      if (waits && gang.members.get(num) === member) this.leave(job, attempt, num, 'incomplete');
+      if (waits && gang.members.get(taskNumber) === member)
+        this.leave(job, attempt, taskNumber, 'incomplete');
     });
     if (gang.state === 'gathering' && gang.members.size === job.spec.sacks) this.begin(job, gang);
   }
@@ -115,25 +116,25 @@
   }
 
   /** Gone from its machine, for whatever reason: the others of a gang that runs fall apart. */
-  leave(job: JobFacts, attempt: number, num: number, cause: string | null): void {
+  leave(job: JobFacts, attempt: number, taskNumber: number, cause: string | null): void {
     const g = this.gangs.get(`${job.spec.id as string}#${attempt}`);
-    const member = g?.members.get(num);
+    const member = g?.members.get(taskNumber);
     if (!g || !member) return;
-    g.members.delete(num);
+    g.members.delete(taskNumber);
     if (cause === 'incomplete') this.incomplete++;
     if (g.state === 'running' || g.state === 'stopping') this.fail(job, g);
     else if (g.state === 'gathering' && cause !== 'incomplete') this.replaced++;
     if (cause !== null) member.exit(cause);
   }
 
-  stop(job: JobFacts, attempt: number, num: number, graceS: number): void {
+  stop(job: JobFacts, attempt: number, taskNumber: number, graceS: number): void {
     const g = this.gangs.get(`${job.spec.id as string}#${attempt}`);
     const saveS = job.spec.bin_s as number;
     const saves = (job.spec.bin_every_s as number) > 0 && graceS >= saveS;
     if (!g || !saves || (g.state !== 'running' && g.state !== 'stopping'))
-      return this.leave(job, attempt, num, 'stopped');
-    if (g.told.has(num)) return;
-    g.told.set(num, this.clock.time);
+      return this.leave(job, attempt, taskNumber, 'stopped');
+    if (g.told.has(taskNumber)) return;
+    g.told.set(taskNumber, this.clock.time);
     if (g.state === 'running') {
       g.state = 'stopping';
       g.frozen = { at: this.clock.time, progress: this.progress(g) };
--- a/test/sim/worker.ts
+++ b/test/sim/worker.ts
@@ -101,8 +101,8 @@
       t.cancel();
       if (t.condition === 'waiting' || t.condition === 'running' || t.condition === 'flushing')
         this.rules.leave(t.sack, this.config.id, false);
-      const [job, num] = this.jobOf(t.sack);
-      if (job?.spec.grind === 'group') this.gangs.leave(job, t.try, num, null);
+      const [job, taskNumber] = this.jobOf(t.sack);
+      if (job?.spec.grind === 'group') this.gangs.leave(job, t.try, taskNumber, null);
     }
     this.tasks.clear();
   }
@@ -247,13 +247,14 @@
   }
 
   private stop(t: Task, graceS: number): void {
-    const [job, num] = this.jobOf(t.sack);
-    if (job?.spec.grind === 'group' && t.condition !== 'fetching') this.gangs.stop(job, t.try, num, graceS);
+    const [job, taskNumber] = this.jobOf(t.sack);
+    if (job?.spec.grind === 'group' && t.condition !== 'fetching')
+      this.gangs.stop(job, t.try, taskNumber, graceS);
     else this.end(t, 'stopped');
   }
 
   /** It has its image, and finds the others of its attempt. */
-  private join(t: Task, job: JobFacts, num: number): void {
+  private join(t: Task, job: JobFacts, taskNumber: number): void {
     t.condition = 'waiting';
     this.change();
     const alive = (fn: () => void): void => {
@@ -261,7 +262,7 @@
         if (this.tasks.get(`${t.sack}#${t.try}`) === t && t.condition !== 'ended') fn();
       });
     };
-    this.gangs.arrive(job, t.try, num, {
+    this.gangs.arrive(job, t.try, taskNumber, {
       run: () =>
         alive(() => {
           t.condition = 'running';
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -287,7 +287,7 @@
     surelyEmpty: () => true,
     ended: (j) => jobs.remove(j),
   });
-  for (let num = 0; num < 100_000; num++) job.finish(num, 0);
+  for (let taskNumber = 0; taskNumber < 100_000; taskNumber++) job.finish(taskNumber, 0);
   for (let chunk = 0; chunk < 13; chunk++) {
     c.state.plant(finishedKey('run-1', chunk), 'x');
     completionWriter.noteWritten(job, chunk);
