--- a/src/leadership/leader-term.ts
+++ b/src/leadership/leader-term.ts
@@ -42,11 +42,16 @@
 }
 
 const TICK_MS = 200;
+/** A tick that comes so late after the last one: this node is behind its own timers. */
+const LATE_TICK_MS = 2 * TICK_MS + 100;
 /** For so long after we were behind, answers may still wait unread: silence then says nothing of machines. */
 const BEHIND_MS = 2500;
 /** With this many machines, no report at all for QUIET_MS means that we are cut off from them. */
 const MANY = 30;
 const QUIET_MS = 3500;
+/** The same with fewer machines. */
+const QUIET_FEW_MS = 4000;
+const QUIET_FEW_REPORTS = 2.5;
 
 /** rebuilding: reading the records. serving: acting. over: the claim has ended, nothing may be done any more. */
 type LeaderTermState = 'rebuilding' | 'serving' | 'over';
@@ -78,8 +83,7 @@
     private readonly deps: LeaderTermDeps,
     private readonly claim: Claim,
   ) {
-    const { world, settings, operator, store } = deps;
-    const leads = (): boolean => this.state === 'serving' && deps.leads();
+    const { world, settings } = deps;
     this.baseToken = claim.revision * TOKEN_SPAN;
     this.heardAt = world.clock.now();
     this.tickedAt = this.heardAt;
@@ -93,7 +97,17 @@
       },
     });
     this.takeover = new Takeover(this.table, world.log, () => this.jobs.size());
-    this.feed = new JobFeed({
+    this.feed = this.createJobFeed();
+    this.sender = this.createCommandSender();
+    this.registry = this.createMachineRecordStore();
+    this.completionWriter = this.createCompletionWriter();
+    this.fleet = this.createFleet();
+    this.placement = this.createPlacement();
+  }
+
+  private createJobFeed(): JobFeed {
+    const { world, store } = this.deps;
+    return new JobFeed({
       world,
       store,
       jobs: this.jobs,
@@ -102,47 +116,63 @@
       removed: (job) => this.jobRemoved(job),
       changed: () => this.wake(),
     });
-    this.sender = new CommandSender({
+  }
+
+  private createCommandSender(): CommandSender {
+    const { world, settings, operator } = this.deps;
+    return new CommandSender({
       world,
       table: this.table,
-      leads,
+      leads: () => this.leads(),
       timeoutMs: operator.command_timeout_ms,
       mostInflight: shareSockets(settings.sockets).requests,
       report: (m, r) => this.applyReport(m, r),
-      mayStart: () => deps.informed(),
+      mayStart: () => this.deps.informed(),
     });
-    this.registry = new MachineRecordStore({
+  }
+
+  private createMachineRecordStore(): MachineRecordStore {
+    const { world, settings, store } = this.deps;
+    return new MachineRecordStore({
       world,
       store,
       table: this.table,
       txnOps: settings.txnOps,
       valueBytes: settings.valueKb * 1024,
-      leads,
-      leaderGuard: deps.guard,
+      leads: () => this.leads(),
+      leaderGuard: this.deps.guard,
       stored: () => this.wake(),
     });
-    this.completionWriter = new CompletionWriter({
+  }
+
+  private createCompletionWriter(): CompletionWriter {
+    const { world, settings, store } = this.deps;
+    return new CompletionWriter({
       world,
       store,
       jobs: this.jobs,
       txnOps: settings.txnOps,
       writeRps: settings.stateWriteRps,
-      leads,
-      leaderGuard: deps.guard,
+      leads: () => this.leads(),
+      leaderGuard: this.deps.guard,
       surelyEmpty: (job) => (job.fresh || this.takeover.isComplete()) && job.attempts.size === 0,
       ended: (job) => this.close(job),
     });
-    this.fleet = new Fleet({
+  }
+
+  private createFleet(): Fleet {
+    const { world, settings, operator } = this.deps;
+    return new Fleet({
       world,
       cloud: new Cloud(world, settings.cloud, settings.cloudRps),
       table: this.table,
       operator,
-      types: deps.types,
+      types: this.deps.types,
       saveMoney: moneyCounts(settings, operator),
       reportS: settings.reportS,
       listLagS: settings.listLagS,
-      requestName: () => `${settings.node}-${claim.revision}-${this.requests++}`,
-      leads,
+      requestName: () => `${settings.node}-${this.claim.revision}-${this.requests++}`,
+      leads: () => this.leads(),
       demand: () => this.demand(),
       cutZones: () => this.cutZones(),
       keptUntil: (zone) => this.keptUntil(zone),
@@ -155,7 +185,11 @@
         this.wake();
       },
     });
-    this.placement = new Placement({
+  }
+
+  private createPlacement(): Placement {
+    const { world, settings, operator } = this.deps;
+    return new Placement({
       world,
       settings,
       operator,
@@ -163,11 +197,16 @@
       table: this.table,
       attemptBase: this.baseToken,
       oldJobsOpen: () => this.takeover.isComplete(),
-      wallMs: deps.wallMs,
+      wallMs: this.deps.wallMs,
       isSilent: (m) => this.fleet.isSilent(m, world.clock.now()),
     });
   }
 
+  /** Is this node entitled to act at this very moment? */
+  private leads(): boolean {
+    return this.state === 'serving' && this.deps.leads();
+  }
+
   private become(next: LeaderTermState): void {
     this.deps.world.log.info({ from: this.state, to: next }, 'leader term');
     this.state = next;
@@ -280,20 +319,12 @@
 
   private tick(): void {
     if (this.state === 'over') return;
-    const { world, settings } = this.deps;
+    const { world } = this.deps;
     const now = world.clock.now();
-    if (now - this.tickedAt > 2 * TICK_MS + 100) this.behindAt = now;
+    if (now - this.tickedAt > LATE_TICK_MS) this.behindAt = now;
     this.tickedAt = now;
-    if (this.state === 'serving' && this.deps.leads()) {
-      const keptUntil = this.grants.keptUntil();
-      for (const m of this.table.all()) {
-        if ((m.reported || m.suspect) && this.table.leaseOver(m, keptUntil, now)) {
-          world.log.info({ id: m.id }, 'worker lease has run out');
-          this.table.expire(m, now);
-          // So no later leader need wait for it.
-          this.registry.removed(m);
-        }
-      }
+    if (this.leads()) {
+      this.expireLeases(now);
       this.checkTakeover();
       this.registry.tick();
       this.completionWriter.tick();
@@ -301,23 +332,41 @@
       this.placement.round();
       this.wake();
       this.sender.flushDue(true);
-      // One that did not answer gets nothing until it does, so it is asked also after it is heard again.
-      for (const m of this.table.all())
-        if (
-          (m.stored || m.reported) &&
-          (!m.certain() || m.commandFailures > 0 || this.fleet.isOverdue(m, now))
-        )
-          this.sender.flush(m, true);
-      const quiet = now - this.heardAt;
-      const known = this.known();
-      // Of many machines some report every moment; of few, a report or two may be late.
-      const plain = known >= MANY && now - this.behindAt > BEHIND_MS;
-      if (known > 0 && quiet > (plain ? QUIET_MS : Math.max(4000, settings.reportS * 2500)))
-        this.deps.handOver('no worker is heard');
+      this.probeUnanswered(now);
+      this.handOverIfUnheard(now);
     }
     world.clock.after(TICK_MS, () => this.tick());
   }
 
+  private expireLeases(now: number): void {
+    const keptUntil = this.grants.keptUntil();
+    for (const machine of this.table.all()) {
+      if (!machine.reported && !machine.suspect) continue;
+      if (!this.table.leaseOver(machine, keptUntil, now)) continue;
+      this.deps.world.log.info({ id: machine.id }, 'worker lease has run out');
+      this.table.expire(machine, now);
+      // So no later leader need wait for it.
+      this.registry.removed(machine);
+    }
+  }
+
+  /** One that did not answer gets nothing until it does, so it is asked also after it is heard again. */
+  private probeUnanswered(now: number): void {
+    for (const machine of this.table.all()) {
+      if (!machine.stored && !machine.reported) continue;
+      const unanswered = !machine.certain() || machine.commandFailures > 0;
+      if (unanswered || this.fleet.isOverdue(machine, now)) this.sender.flush(machine, true);
+    }
+  }
+
+  /** Of many machines some report every moment; of few, a report or two may be late. */
+  private handOverIfUnheard(now: number): void {
+    const known = this.known();
+    const many = known >= MANY && now - this.behindAt > BEHIND_MS;
+    const fewMs = Math.max(QUIET_FEW_MS, this.deps.settings.reportS * 1000 * QUIET_FEW_REPORTS);
+    if (known > 0 && now - this.heardAt > (many ? QUIET_MS : fewMs)) this.deps.handOver('no worker is heard');
+  }
+
   private known(): number {
     let n = 0;
     for (const m of this.table.all()) if (m.stored) n++;
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -5,55 +5,76 @@
 
 const PRIORITIES = ['production', 'high', 'normal', 'idle'];
 const KINDS: Record<string, JobKind | undefined> = { array: 'array', daemon: 'service', group: 'gang' };
+/** Machine types that one submission may name. */
+const MAX_TYPES = 100;
 const JOB_ID = /^run-[0-9]{1,18}$/;
 
 export function isJobId(id: string): boolean {
   return JOB_ID.test(id);
 }
 
+type Check = (value: unknown) => boolean;
+
+const orNull =
+  (check: Check): Check =>
+  (value) =>
+    value === null || value === undefined || check(value);
+
+function isTaskCount(value: unknown): boolean {
+  const tasks = narrow(value);
+  return tasks !== undefined && Number.isInteger(tasks) && tasks >= 1 && tasks <= MAX_TASKS;
+}
+
+const isTypeList: Check = (value) => Array.isArray(value) && value.length <= MAX_TYPES && value.every(text);
+
+/** What each field of a submission must be, in the order in which they are checked. */
+const SUBMISSION_CHECKS: Record<string, Check> = {
+  id: (value) => typeof value === 'string' && isJobId(value),
+  grist: text,
+  miller: text,
+  grind: (value) => typeof value === 'string' && Object.hasOwn(KINDS, value),
+  precedence: (value) => PRIORITIES.includes(value as string),
+  sacks: isTaskCount,
+  vcpus: amount,
+  gpus: amount,
+  ram_gb: amount,
+  image_gb: amount,
+  grind_s: amount,
+  bin_every_s: amount,
+  bin_s: amount,
+  seed: text,
+  stone_kinds: orNull(isTypeList),
+  yard: orNull(text),
+  one_zone: flag,
+  scatter: flag,
+  loaned_stones: flag,
+  due_s: orNull(amount),
+};
+
 /** The job asked for, or the name of the first field that is missing or invalid. */
-export function readJob(b: Body): JobSpec | string {
-  const tasks = narrow(b.sacks);
-  const priority = PRIORITIES.indexOf(b.precedence as string);
-  const kind = typeof b.grind === 'string' ? KINDS[b.grind] : undefined;
-  if (typeof b.id !== 'string' || !isJobId(b.id)) return 'id';
-  if (!text(b.grist)) return 'grist';
-  if (!text(b.miller)) return 'miller';
-  if (!kind) return 'grind';
-  if (priority < 0) return 'precedence';
-  if (tasks === undefined || !Number.isInteger(tasks) || tasks < 1 || tasks > MAX_TASKS) return 'sacks';
-  for (const f of ['vcpus', 'gpus', 'ram_gb', 'image_gb', 'grind_s', 'bin_every_s', 'bin_s'])
-    if (!amount(b[f])) return f;
-  if (!text(b.seed)) return 'seed';
-  const types = b.stone_kinds ?? null;
-  if (types !== null && !(Array.isArray(types) && types.length <= 100 && types.every(text)))
-    return 'stone_kinds';
-  const zone = b.yard ?? null;
-  if (zone !== null && !text(zone)) return 'yard';
-  for (const f of ['one_zone', 'scatter', 'loaned_stones']) if (!flag(b[f])) return f;
-  const due = b.due_s ?? null;
-  if (due !== null && !amount(due)) return 'due_s';
+export function readJob(body: Body): JobSpec | string {
+  for (const [field, isValid] of Object.entries(SUBMISSION_CHECKS)) if (!isValid(body[field])) return field;
   return {
-    id: b.id,
-    cls: b.grist,
-    team: b.miller,
-    kind,
-    priority: priority as Priority,
-    tasks,
-    cpus: b.vcpus as number,
-    gpus: b.gpus as number,
-    memoryGb: b.ram_gb as number,
-    image: b.seed,
-    imageGb: b.image_gb as number,
-    types: types as string[] | null,
-    zone: zone as string | null,
-    oneZone: b.one_zone as boolean,
-    spread: b.scatter as boolean,
-    spot: b.loaned_stones as boolean,
-    estimateS: b.grind_s as number,
-    checkpointS: b.bin_every_s as number,
-    saveS: b.bin_s as number,
-    deadlineS: due as number | null,
+    id: body.id as string,
+    cls: body.grist as string,
+    team: body.miller as string,
+    kind: KINDS[body.grind as string]!,
+    priority: PRIORITIES.indexOf(body.precedence as string) as Priority,
+    tasks: narrow(body.sacks)!,
+    cpus: body.vcpus as number,
+    gpus: body.gpus as number,
+    memoryGb: body.ram_gb as number,
+    image: body.seed as string,
+    imageGb: body.image_gb as number,
+    types: (body.stone_kinds ?? null) as string[] | null,
+    zone: (body.yard ?? null) as string | null,
+    oneZone: body.one_zone as boolean,
+    spread: body.scatter as boolean,
+    spot: body.loaned_stones as boolean,
+    estimateS: body.grind_s as number,
+    checkpointS: body.bin_every_s as number,
+    saveS: body.bin_s as number,
+    deadlineS: (body.due_s ?? null) as number | null,
   };
 }
 
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -1,9 +1,9 @@
-import type { World } from '../runtime.js';
+import type { Reply, World } from '../runtime.js';
 import type { WorkerCommand, WorkerReport } from '../wire/model.js';
 import { commandBody, readReport, workerPaths } from '../wire/workers.js';
 import type { Machine } from './machine.js';
 import type { MachineTable } from './machine-table.js';
-import type { TaskAttempt } from './task-attempt.js';
+import type { StopRequest, TaskAttempt } from './task-attempt.js';
 
 export interface CommandSenderDeps {
   world: World;
@@ -22,6 +22,12 @@
 const REPEAT_MS = 2000;
 /** An empty request costs nothing if it is answered late, so that it need not be waited for as long. */
 const PROBE_MS = 900;
+/** Of the requests under way, at most: to machines that did not answer the last one, and before a probe. */
+const FAILING_SHARE = 0.5;
+const PROBE_SHARE = 0.8;
+const REFUSED_RETRY_MS = 50;
+const FIRST_RETRY_MS = 250;
+const MAX_RETRY_MS = 4000;
 
 function refOf(e: TaskAttempt): { job: string; taskNumber: number; attempt: number } {
   return { job: e.jobId, taskNumber: e.taskNumber, attempt: e.attempt };
@@ -53,14 +59,23 @@
   return out;
 }
 
+function isStopDue(attempt: TaskAttempt, now: number): boolean {
+  return !attempt.open && now - attempt.stopSentAt >= REPEAT_MS;
+}
+
+function stopCommand(attempt: TaskAttempt, { graceS }: StopRequest, now: number): WorkerCommand {
+  attempt.stopSentAt = now;
+  return { op: 'stop', ...refOf(attempt), graceS };
+}
+
 interface Batch {
-  orders: WorkerCommand[];
+  commands: WorkerCommand[];
   starts: Set<TaskAttempt>;
   /** Nothing is left to be sent, now or later. */
   settled: boolean;
 }
 
-const NOTHING: Batch = { orders: [], starts: new Set(), settled: false };
+const NOTHING: Batch = { commands: [], starts: new Set(), settled: false };
 
 /**
  * Orders go straight to the worker, one request at a time per machine. Whatever is not answered raises the
@@ -76,25 +91,21 @@
   private collect(m: Machine, now: number): Batch {
     const stops: WorkerCommand[] = [];
     const starts: WorkerCommand[] = [];
-    const entries = new Set<TaskAttempt>();
+    const started = new Set<TaskAttempt>();
     let settled = true;
-    for (const e of m.attempts.values()) {
-      if (e.state === 'exited') settled = false;
-      else if (e.stop && e.sent) {
+    for (const attempt of m.attempts.values()) {
+      if (attempt.state === 'exited') settled = false;
+      else if (attempt.stop && attempt.sent) {
         settled = false;
-        if (!e.open && now - e.stopSentAt >= REPEAT_MS) {
-          e.stopSentAt = now;
-          stops.push({ op: 'stop', ...refOf(e), graceS: e.stop.graceS });
-        }
-      } else if (!e.sent && !e.stop) {
+        if (isStopDue(attempt, now)) stops.push(stopCommand(attempt, attempt.stop, now));
+      } else if (!attempt.sent && !attempt.stop) {
         settled = false;
-        if (m.certain() && this.deps.mayStart()) {
-          entries.add(e);
-          starts.push({ op: 'start', ...refOf(e) });
-        }
+        if (!m.certain() || !this.deps.mayStart()) continue;
+        started.add(attempt);
+        starts.push({ op: 'start', ...refOf(attempt) });
       }
     }
-    return { orders: [...stops, ...starts], starts: entries, settled };
+    return { commands: [...stops, ...starts], starts: started, settled };
   }
 
   /** All that is to go out at once; `all`: also what is repeated, or waited for something else. */
@@ -106,57 +117,70 @@
     }
   }
 
+  private maySend(m: Machine, probe: boolean, now: number): boolean {
+    if (m.inflight || !m.endpoint || now < m.nextSendAt || !this.deps.leads()) return false;
+    if (!m.stored && !probe) return false;
+    // A dead machine holds its request until it is given up. However many are dead at once, the others get theirs.
+    const most = this.deps.mostInflight;
+    if (m.commandFailures > 0 && this.failing >= most * FAILING_SHARE) return false;
+    return !probe || this.inflight < most * PROBE_SHARE;
+  }
+
   /** Sends what is due. With `probe`, also an empty request: its answer is a report under our token. */
   flush(m: Machine, probe = false): void {
     const { world, table } = this.deps;
     const now = world.clock.now();
-    if (m.inflight || !m.endpoint || now < m.nextSendAt || !this.deps.leads()) return;
-    if (!m.stored && !probe) return;
-    // A dead machine holds its request until it is given up. However many are dead at once, the others get theirs.
-    const most = this.deps.mostInflight;
-    const failing = m.commandFailures > 0;
-    if (failing && this.failing >= most / 2) return;
-    if (probe && this.inflight >= most * 0.8) return;
-    const { orders, starts, settled } = m.stored ? this.collect(m, now) : NOTHING;
+    if (!this.maySend(m, probe, now)) return;
+    const { commands, starts, settled } = m.stored ? this.collect(m, now) : NOTHING;
     table.hot.delete(m);
     if (settled) table.settled(m);
-    if (orders.length === 0 && !probe) return;
-    for (const e of starts) e.sent = true;
+    if (commands.length === 0 && !probe) return;
+    for (const attempt of starts) attempt.sent = true;
     // Forgets alone wait for the next report; here they ride along. A copy of the start of what is forgotten
     // could otherwise start it anew: copies have lower tokens.
     const forgets = m.stored ? dueForgets(m, now) : [];
     if (forgets.length > 0) table.raise(m);
+    const timeoutMs = commands.length === 0 ? PROBE_MS : Infinity;
+    void this.send(m, [...forgets, ...commands], starts, Math.min(timeoutMs, this.deps.timeoutMs));
+  }
+
+  private async send(
+    m: Machine,
+    commands: WorkerCommand[],
+    starts: Set<TaskAttempt>,
+    timeoutMs: number,
+  ): Promise<void> {
+    const { world, table } = this.deps;
+    const failing = m.commandFailures > 0;
     m.inflight = { attempts: starts };
     this.inflight++;
     if (failing) this.failing++;
-    const session = m.session || 1;
-    void world.http
-      .send(
-        m.endpoint,
-        'POST',
-        workerPaths.commands,
-        commandBody(table.token(m), session, [...forgets, ...orders]),
-        orders.length === 0 ? Math.min(PROBE_MS, this.deps.timeoutMs) : this.deps.timeoutMs,
-      )
-      .then(({ status, body }) => {
-        this.inflight--;
-        if (failing) this.failing--;
-        m.inflight = null;
-        const t = world.clock.now();
-        const report = status === 200 || status === 409 ? readReport(body) : null;
-        if (status === 200) table.answered(starts);
-        else if (status === 409) table.refused(starts, t);
-        else table.unanswered(m, starts);
-        if (status === 200 || status === 409) {
-          m.commandFailures = 0;
-          if (status === 409) m.nextSendAt = t + 50;
-        } else {
-          m.commandFailures++;
-          m.nextSendAt = t + Math.min(4000, 250 * 2 ** m.commandFailures);
-        }
-        if (report && report.machine === m.id) this.deps.report(m, report);
-        // What was held meanwhile goes out next.
-        if (m.attempts.size > 0) table.mark(m);
-      });
+    const body = commandBody(table.token(m), m.session || 1, commands);
+    const reply = await world.http.send(m.endpoint, 'POST', workerPaths.commands, body, timeoutMs);
+    this.inflight--;
+    if (failing) this.failing--;
+    m.inflight = null;
+    this.answered(m, reply, starts);
+  }
+
+  private answered(m: Machine, { status, body }: Reply, starts: Set<TaskAttempt>): void {
+    const { world, table } = this.deps;
+    const now = world.clock.now();
+    const executed = status === 200;
+    const refused = status === 409;
+    if (executed) table.answered(starts);
+    else if (refused) table.refused(starts, now);
+    else table.unanswered(m, starts);
+    if (executed || refused) {
+      m.commandFailures = 0;
+      if (refused) m.nextSendAt = now + REFUSED_RETRY_MS;
+      const report = readReport(body);
+      if (report?.machine === m.id) this.deps.report(m, report);
+    } else {
+      m.commandFailures++;
+      m.nextSendAt = now + Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** m.commandFailures);
+    }
+    // What was held meanwhile goes out next.
+    if (m.attempts.size > 0) table.mark(m);
   }
 }
--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -1,10 +1,17 @@
 /** The leader's table of machines and of the task attempts that may be on them, rebuilt from worker reports. */
 import type { Job } from '../jobs/job-table.js';
-import type { MachineType, WorkerReport } from '../wire/model.js';
+import type { MachineType, TaskReport, WorkerReport } from '../wire/model.js';
 import { DRIFT } from '../runtime.js';
 import { Machine } from './machine.js';
 import { ATTEMPT_TRANSITIONS, type AttemptState, type StopRequest, TaskAttempt } from './task-attempt.js';
 
+/** A start that no report shows may still be executed, unless the machine has shown the token that ends it. */
+function mayStillStart(m: Machine, attempt: TaskAttempt): boolean {
+  if (!attempt.open) return false;
+  const inFlight = m.inflight?.attempts.has(attempt) === true;
+  return inFlight || !attempt.sent || attempt.fence === 0 || m.token < attempt.fence;
+}
+
 export interface TableEvents {
   /** The task may now be on the machine. */
   attemptAdded(e: TaskAttempt): void;
@@ -168,14 +175,28 @@
    */
   apply(m: Machine, r: WorkerReport, now: number): boolean {
     if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return false;
-    if (r.session > m.session) {
-      // The worker has killed and forgotten everything, and refuses commands for the earlier session.
-      this.dropAll(m, now);
-      m.session = r.session;
-      m.reportSeq = -1;
-      // The new session's own lease counts from its beginning, which was at the latest now.
-      m.renewedAt = Math.max(m.renewedAt, now);
+    if (r.session > m.session) this.beginSession(m, r.session, now);
+    this.applyState(m, r, now);
+    const seen = new Set<string>();
+    for (const task of r.tasks) {
+      seen.add(attemptKey(task.job, task.taskNumber, task.attempt));
+      this.applyTask(m, task, now);
     }
+    for (const [key, attempt] of m.attempts)
+      if (!seen.has(key) && !mayStillStart(m, attempt)) this.drop(attempt, now);
+    return true;
+  }
+
+  /** The worker has killed and forgotten everything, and refuses commands for the earlier session. */
+  private beginSession(m: Machine, session: number, now: number): void {
+    this.dropAll(m, now);
+    m.session = session;
+    m.reportSeq = -1;
+    // The new session's own lease counts from its beginning, which was at the latest now.
+    m.renewedAt = Math.max(m.renewedAt, now);
+  }
+
+  private applyState(m: Machine, r: WorkerReport, now: number): void {
     m.seq = r.seq;
     m.token = Math.max(m.token, r.token);
     if (m.asked && m.token >= m.asked.token) {
@@ -186,27 +207,19 @@
     m.reported = true;
     m.expired = false;
     m.noticeUntil = r.noticeS === null ? null : now + r.noticeS * 1000;
-    const seen = new Set<string>();
-    for (const t of r.tasks) {
-      const key = attemptKey(t.job, t.taskNumber, t.attempt);
-      seen.add(key);
-      let e = m.attempts.get(key);
-      if (!e) {
-        e = this.hold(m, t.job, this.findJob(t.job) ?? null, t.taskNumber, t.attempt, now);
-        e.sent = true;
-        e.found = t.state !== 'fetching' && t.state !== 'waiting';
-      }
-      e.open = false;
-      if (t.state === 'exited' && e.cause === null) e.cause = t.cause;
-      this.become(e, t.state, now);
-    }
-    for (const [key, e] of m.attempts) {
-      if (seen.has(key)) continue;
-      const mayCome =
-        e.open && (m.inflight?.attempts.has(e) === true || !e.sent || e.fence === 0 || m.token < e.fence);
-      if (!mayCome) this.drop(e, now);
+  }
+
+  private applyTask(m: Machine, task: TaskReport, now: number): void {
+    let attempt = m.attempts.get(attemptKey(task.job, task.taskNumber, task.attempt));
+    if (!attempt) {
+      const job = this.findJob(task.job) ?? null;
+      attempt = this.hold(m, task.job, job, task.taskNumber, task.attempt, now);
+      attempt.sent = true;
+      attempt.found = task.state !== 'fetching' && task.state !== 'waiting';
     }
-    return true;
+    attempt.open = false;
+    if (task.state === 'exited' && attempt.cause === null) attempt.cause = task.cause;
+    this.become(attempt, task.state, now);
   }
 
   /**
--- a/test/api.test.ts
+++ b/test/api.test.ts
@@ -52,6 +52,7 @@
   assert.equal(await status({ vcpus: 17 }), 422);
   assert.equal(await status({ yard: 'nowhere' }), 422);
   assert.equal(await status({ grind: 'daemon', sacks: 41 }), 422, 'a service over its limit as a whole');
+  assert.equal(await status({ grind: 'group', sacks: 41 }), 422, 'a gang over its limit as a whole');
   assert.equal((await asked(c, 'GET', `/v1/jobs/${String(job.id)}`, null)).status, 404);
   assert.equal((await asked(c, 'POST', '/v1/jobs/run-999999/withdraw', null)).status, 404);
   c.rules.jobs.set(job.id as string, jobFacts(job, c.clock.time));
@@ -69,7 +70,7 @@
   id: ['x', 'run-', 'run-1x', 7, ''],
   grist: ['', 3],
   miller: ['', null],
-  grind: ['cron', null, 1],
+  grind: ['cron', 'gang', 'constructor', null, 1],
   precedence: ['urgent', null],
   sacks: [0, -1, 1.5, 100_001, '4', null],
   vcpus: [-1, '2', null],
