--- a/src/fleet/silence.ts
+++ b/src/fleet/silence.ts
@@ -132,7 +132,7 @@
     if (quiet > LOST_FOR_GOOD_MS || (this.deps.saveMoney && m.expired)) return true;
     const most = this.deps.leaseS * 1000 * LOST_LEASE;
     const kept = this.deps.keptUntil(m.zone);
-    if (kept === null) return holdsUp || ((m.services > 0 || this.deps.saveMoney) && quiet > most);
+    if (kept === null) return holdsUp || (m.services > 0 && quiet > most);
     // Spread replicas need two zones beside the lost one, or they would find no place elsewhere.
     const zones = this.deps.zones;
     return (m.services > 0 || m.suspect) && zones.size - this.lost.size >= 2 && now > kept + most;
