--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -135,6 +135,32 @@
   assert.deepEqual(c.rules.broken, []);
 });
 
+test('under a notice a gang that fits nowhere else runs on while there is time, and then still saves', async () => {
+  for (const [graceMs, grindS] of [
+    [20_000, 10],
+    [9000, 14],
+  ] as const) {
+    const c = await quiet({ seed: 17, capacity: 0, ordinaryUp: 2, teamLimit: 1000 });
+    const job = submit(c, {
+      ...GANG,
+      one_zone: false,
+      sacks: 4,
+      vcpus: 8,
+      grind_s: grindS,
+      bin_every_s: 100,
+    });
+    await until(c, () => c.gangs.begun === 1, 20);
+    await c.run(1);
+    const leaving = c.cloud.machines.get(machinesOf(c, job)[0])!;
+    leaving.worker!.noticeUntil = c.clock.time + graceMs;
+    await c.run(graceMs / 1000 - 0.5);
+    assert.equal(c.gangs.begun, 1);
+    if (grindS < 12) assert.equal(job.finished.size, 4, 'done before the machine goes');
+    else assert.ok(job.progressMs > 4000, `${job.progressMs} ms are safe`);
+    assert.deepEqual(c.rules.broken, []);
+  }
+});
+
 test('a large gang begins although smaller work keeps coming', async () => {
   const c = await quiet({ seed: 5, capacity: 1, ordinaryUp: 2, teamLimit: 1000 });
   for (let i = 0; i < 20; i++) submit(c, { ...BATCH, sacks: 8, grind_s: 4 });
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { Job, JobTable } from '../src/jobs/job-table.js';
+import { GangScheduler } from '../src/placement/gang-scheduler.js';
 import { Placement } from '../src/placement/placement.js';
 import { defaultOperatorSettings } from '../src/settings/operator.js';
 import type { PlatformSettings } from '../src/settings/platform.js';
@@ -14,6 +15,20 @@
 import { finishGoals, servingOrder, urgency } from '../src/placement/order.js';
 import type { JobSpec, MachineType } from '../src/wire/model.js';
 
+function machineType(cpus: number): MachineType {
+  return {
+    name: 'm',
+    cpus,
+    gpus: 0,
+    memoryGb: 256,
+    fetchGbPerS: 1,
+    price: 2,
+    spotPrice: 0.6,
+    bootS: 20,
+    zones: ['a', 'b'],
+  };
+}
+
 function spec(over: Partial<JobSpec> = {}): JobSpec {
   return {
     id: 'run-1',
@@ -59,6 +74,33 @@
   );
 });
 
+test('a gang moves whole or not at all: only if all of it fits elsewhere and all its machines answer', () => {
+  const table = new MachineTable(100, 10_000, () => undefined, {
+    attemptAdded: (attempt) => attempt.job?.addAttempt(attempt),
+    attemptGone: () => undefined,
+  });
+  const addMachine = (id: string): Machine => {
+    const machine = table.add(id, `${id}:1`, machineType(16), 'a', false, 0);
+    return Object.assign(machine, { stored: true, reported: true, token: 100 });
+  };
+  const gang = new Job(0, spec({ kind: 'gang', tasks: 4, cpus: 8, spot: false }), 1, 0, true, 0);
+  const home = [addMachine('m1'), addMachine('m2')];
+  for (let task = 0; task < 4; task++) table.hold(home[task >> 1], 'run-1', gang, task, 7, 0);
+  const gangs = new GangScheduler({
+    table,
+    usable: (machine: Machine) => machine.certain(),
+  } as unknown as ConstructorParameters<typeof GangScheduler>[0]);
+  const elsewhere = addMachine('m3');
+  assert.equal(gangs.canMove(gang, home[0]), false, 'half of it fits');
+  addMachine('m4');
+  assert.equal(gangs.canMove(gang, home[0]), true);
+  home[1].commandFailures = 1;
+  assert.equal(gangs.canMove(gang, home[0]), false, 'one machine could not be told to stop');
+  home[1].commandFailures = 0;
+  elsewhere.slow = true;
+  assert.equal(gangs.canMove(gang, home[0]), false, 'slow machines are no place to move to');
+});
+
 test('a job may use the machines again on which it failed, once it has waited for a while', () => {
   const job = new Job(0, spec(), 1, 0, true, 0);
   const machine = { index: 4, failedJobs: new Set<number>(), draining: null } as unknown as Machine;
@@ -108,17 +150,7 @@
 });
 
 test('rentals: ordinary machines for what needs them, cheap ones for the rest, refused pools left alone', () => {
-  const type: MachineType = {
-    name: 'm',
-    cpus: 32,
-    gpus: 0,
-    memoryGb: 128,
-    fetchGbPerS: 1,
-    price: 2,
-    spotPrice: 0.6,
-    bootS: 20,
-    zones: ['a', 'b'],
-  };
+  const type = machineType(32);
   const pool = (zone: string, spot: boolean, refusedUntil = 0): Pool => ({
     type,
     zone,
@@ -138,17 +170,7 @@
 
 // Incident fleet-loss: when a zone was lost, replicas whose other zones were closed to them used up each pass's looks.
 test('replicas that no open zone has room for do not keep all others waiting', () => {
-  const type: MachineType = {
-    name: 'm',
-    cpus: 64,
-    gpus: 0,
-    memoryGb: 256,
-    fetchGbPerS: 1,
-    price: 2,
-    spotPrice: 1,
-    bootS: 20,
-    zones: ['a', 'b'],
-  };
+  const type = machineType(64);
   const jobs = new JobTable();
   const quiet = { info: () => undefined, debug: () => undefined, error: () => undefined };
   const table: MachineTable = new MachineTable(100, 10_000, (id) => jobs.get(id), {
