--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { Cluster, type ClusterConfig, LEASE_MS } from './sim/cluster.js';
 import { BATCH, DESK, GANG } from './sim/jobs.js';
-import { expectKept, play } from './sim/play.js';
+import { type Outcome, testDays } from './sim/play.js';
 import { copiesTo, leaderOr, someMachines } from './sim/scenarios.js';
 import type { JobFacts } from './sim/rules.js';
 import type { Body } from '../src/wire/cbor.js';
@@ -255,34 +255,25 @@
 });
 
 /** Gangs come beside all other jobs, and meet troubles. */
-function gangDay(
-  name: string,
-  seeds: number[],
-  troubles: (c: Cluster, second: number) => void,
-  config: Partial<ClusterConfig> = {},
-): void {
-  for (const seed of seeds)
-    test(`gangs: ${name} (${seed})`, async () => {
-      const o = await play({ ordinaryUp: 8, nodes: 5, ...config, seed }, (c, s) => {
-        const over = {
-          sacks: c.random.int(2, 6),
-          one_zone: c.random.chance(0.7),
-          loaned_stones: c.random.chance(0.4),
-        };
-        if (s % 3 === 0)
-          void c.user(
-            c.jobBody({ ...GANG, ...over }),
-            c.random.chance(0.2) ? c.random.between(0, 12_000) : null,
-          );
-        troubles(c, s);
-      });
-      o.cluster.net.copies = null;
-      expectKept(o);
-      assert.ok(o.cluster.gangs.begun > 10, `${o.cluster.gangs.begun} began`);
-      for (const [id, j] of o.cluster.rules.jobs)
-        if (j.spec.grind === 'group' && j.toldAccepted && !j.cancelAsked)
-          assert.notEqual(j.toldDoneAt, null, id);
-    });
+function gangDay(name: string, seeds: number[], troubles: (c: Cluster, second: number) => void): void {
+  const eachSecond = (c: Cluster, s: number): void => {
+    const over = {
+      sacks: c.random.int(2, 6),
+      one_zone: c.random.chance(0.7),
+      loaned_stones: c.random.chance(0.4),
+    };
+    const cancelAfterMs = (): number | null => (c.random.chance(0.2) ? c.random.between(0, 12_000) : null);
+    if (s % 3 === 0) void c.user(c.jobBody({ ...GANG, ...over }), cancelAfterMs());
+    troubles(c, s);
+  };
+  testDays(`gangs: ${name}`, seeds, eachSecond, {}, allGangsServed);
+}
+
+function allGangsServed({ cluster: c }: Outcome): void {
+  assert.ok(c.gangs.begun > 10, `${c.gangs.begun} began`);
+  for (const [id, job] of c.rules.jobs)
+    if (job.spec.grind === 'group' && job.toldAccepted && !job.cancelAsked)
+      assert.notEqual(job.toldDoneAt, null, id);
 }
 
 gangDay('leaders crash and change', [11, 12, 13], (c, s) => {
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { CANCEL_MS, Cluster, type ClusterConfig, LEASE_MS, zoneOf } from './sim/cluster.js';
 import { BATCH, DESK, GANG } from './sim/jobs.js';
-import { expectKept, play } from './sim/play.js';
+import { testDays } from './sim/play.js';
 import {
   apart,
   cancelledBesideRefusal,
@@ -150,15 +150,11 @@
   troubles: (c: Cluster, second: number) => void,
   config: Partial<ClusterConfig> = {},
 ): void {
-  for (const seed of seeds)
-    test(`${name} (${seed})`, async () => {
-      const o = await play({ ordinaryUp: 8, nodes: 5, ...config, seed }, (c, s) => {
-        if (s % 6 === 3) void c.user(c.jobBody({ ...GANG, sacks: c.random.int(2, 5) }), null);
-        troubles(c, s);
-      });
-      o.cluster.net.copies = null;
-      expectKept(o);
-    });
+  const eachSecond = (c: Cluster, s: number): void => {
+    if (s % 6 === 3) void c.user(c.jobBody({ ...GANG, sacks: c.random.int(2, 5) }), null);
+    troubles(c, s);
+  };
+  testDays(name, seeds, eachSecond, config);
 }
 
 meeting('old reports, of earlier sessions and attempts too, after newer ones', [101, 102], (c, s) => {
--- a/test/sim/play.ts
+++ b/test/sim/play.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
+import { test } from 'node:test';
 import { Cluster, type ClusterConfig } from './cluster.js';
 
-interface Outcome {
+export interface Outcome {
   cluster: Cluster;
   /** Arrays and gangs not cancelled, and how many of them their users were told are done. */
   ending: number;
@@ -37,3 +38,22 @@
   assert.ok(o.cluster.rules.starts > 0, 'something ran');
   if (finished) assert.equal(o.done, o.ending, 'all arrays and gangs are done');
 }
+
+type EachSecond = (c: Cluster, second: number) => void;
+
+/** A test for each seed: a day with troubles, after which all rules were kept and all jobs are served. */
+export function testDays(
+  name: string,
+  seeds: number[],
+  eachSecond: EachSecond,
+  config: Partial<ClusterConfig> = {},
+  check: (o: Outcome) => void = () => undefined,
+): void {
+  for (const seed of seeds)
+    test(`${name} (${seed})`, async () => {
+      const o = await play({ ordinaryUp: 8, nodes: 5, ...config, seed }, eachSecond);
+      o.cluster.net.copies = null;
+      expectKept(o);
+      check(o);
+    });
+}
