--- a/test/sim/cloud.ts
+++ b/test/sim/cloud.ts
@@ -41,6 +41,7 @@
     private readonly random: SeededRandom,
     private readonly capacity: Map<string, number>,
     private readonly boot: (m: CloudMachine) => Worker,
+    private readonly endpointOf: (id: string) => string = (id) => `w-${id}:9000`,
   ) {
     this.snapshotLoop();
   }
@@ -48,7 +49,7 @@
   private snapshotLoop(): void {
     const list = [...this.machines.values()].map((m) => ({
       id: m.id,
-      endpoint: `w-${m.id}:9000`,
+      endpoint: this.endpointOf(m.id),
       stone_kind: m.type,
       yard: m.zone,
       loaned_stones: m.spot,
