Probes of a takeover follow how late timers fire

The new leader asked every machine as fast as its sockets allow, beside the reports of all of them; at 17 % of a core answers then waited for longer than the 0.9 s that a probe is given, and were asked for again.

Ruled out: the state service (rebuilding took 0.3 s), the round's own work (4 passes in the ten seconds).

Change: a window for probes, which grows by steps while timers fire on time and halves when they are late; while it is small, answers may take as long as those to commands; a machine whose report was just answered is not asked, since it speaks within half a second. Being behind its timers is a module of its own and says so in the log.

--- a/src/leadership/leader-term.ts
+++ b/src/leadership/leader-term.ts
@@ -23,6 +23,7 @@
 import { LeaseExtensionGrants, leaseExtensionMs } from './lease-extension.js';
 import { JobFeed } from './job-feed.js';
 import { cutZones, keptUntil } from './zone-contact.js';
+import { Lateness } from './lateness.js';
 import { Takeover } from './takeover.js';
 import { type Claim, TOKEN_SPAN } from './leadership.js';
 
@@ -44,10 +45,6 @@
 
 const TICK_MS = 200;
 const REBUILD_RETRY_MS = 200;
-/** A tick that comes so late after the last one: this node is behind its own timers. */
-const LATE_TICK_MS = 2 * TICK_MS + 100;
-/** For so long after we were behind, answers may still wait unread: silence then says nothing of machines. */
-const BEHIND_MS = 2500;
 /** With this many machines, no report at all for QUIET_MS means that we are cut off from them. */
 const MANY = 30;
 const QUIET_MS = 3500;
@@ -72,9 +69,7 @@
   private woken = false;
   /** How long the last pass took: the next one waits for longer than that. */
   private passMs = 0;
-  private tickedAt: number;
-  /** When we were last behind our own timers. */
-  private behindAt = -Infinity;
+  private readonly lateness: Lateness;
   private heardAt: number;
   private readonly takeover: Takeover;
   private readonly feed: JobFeed;
@@ -88,7 +83,7 @@
     const { world, settings } = deps;
     this.baseToken = claim.revision * TOKEN_SPAN;
     this.heardAt = world.clock.now();
-    this.tickedAt = this.heardAt;
+    this.lateness = new Lateness(TICK_MS, this.heardAt, world.log);
     this.leaseExtensionMs = leaseExtensionMs(settings.cancelS, settings.leaseS);
     this.grants = new LeaseExtensionGrants(this.leaseExtensionMs, this.heardAt);
     this.table = new MachineTable(this.baseToken, settings.leaseS * 1000, (id) => this.jobs.get(id), {
@@ -194,7 +189,7 @@
       keptUntil: (zone) => keptUntil(zone, settings, this.grants, this.leaseExtensionMs),
       homeZones: new Set([settings.zone, ...settings.peers.map((p) => p.zone)]),
       leaseS: settings.leaseS,
-      behind: () => world.clock.now() - this.behindAt < BEHIND_MS,
+      behind: () => this.lateness.isBehind(world.clock.now()),
       gone: (m) => {
         this.table.remove(m, world.clock.now());
         this.registry.removed(m);
@@ -350,8 +345,7 @@
     if (this.state === 'over') return;
     const { world } = this.deps;
     const now = world.clock.now();
-    if (now - this.tickedAt > LATE_TICK_MS) this.behindAt = now;
-    this.tickedAt = now;
+    this.sender.timerFired(this.lateness.timerFired(now));
     if (this.leads()) {
       this.expireLeases(now);
       if (this.takeover.check(now)) this.wake();
@@ -386,14 +380,15 @@
     for (const machine of this.table.all()) {
       if (!machine.stored && !machine.reported) continue;
       const unanswered = !machine.certain() || machine.commandFailures > 0;
-      if (unanswered || this.fleet.isOverdue(machine, now)) this.sender.flush(machine, true);
+      if (!unanswered && !this.fleet.isOverdue(machine, now)) continue;
+      if (this.sender.isWorthProbing(machine, now)) this.sender.flush(machine, true);
     }
   }
 
   /** Of many machines some report every moment; of few, a report or two may be late. */
   private handOverIfUnheard(now: number): void {
     const known = this.known();
-    const many = known >= MANY && now - this.behindAt > BEHIND_MS;
+    const many = known >= MANY && !this.lateness.isBehind(now);
     const fewMs = Math.max(QUIET_FEW_MS, this.deps.settings.reportS * 1000 * QUIET_FEW_REPORTS);
     if (known > 0 && now - this.heardAt > (many ? QUIET_MS : fewMs)) this.deps.handOver('no worker is heard');
   }
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -1,8 +1,10 @@
+/** Sends commands to workers: directly, or with the answers to their reports. */
 import type { Reply, World } from '../runtime.js';
 import type { WorkerCommand, WorkerReport } from '../wire/model.js';
 import { commandBody, readReport, workerPaths } from '../wire/workers.js';
 import type { Machine } from './machine.js';
 import type { MachineTable } from './machine-table.js';
+import { ProbeWindow } from './probe-window.js';
 import type { StopRequest, TaskAttempt } from './task-attempt.js';
 
 export interface CommandSenderDeps {
@@ -22,9 +24,10 @@
 const REPEAT_MS = 2000;
 /** An empty request costs nothing if it is answered late, so that it need not be waited for as long. */
 const PROBE_MS = 900;
-/** Of the requests under way, at most: to machines that did not answer the last one, and before a probe. */
+/** Of the requests under way, at most: to machines that did not answer the last one. */
 const FAILING_SHARE = 0.5;
-const PROBE_SHARE = 0.8;
+/** A machine whose report was answered shows our token with its next one, which comes within half a second. */
+const SPEAKS_SOON_MS = 900;
 const REFUSED_RETRY_MS = 50;
 const FIRST_RETRY_MS = 250;
 const MAX_RETRY_MS = 4000;
@@ -85,8 +88,21 @@
   private inflight = 0;
   /** Of these, to machines that did not answer the last one. */
   private failing = 0;
+  private readonly probes: ProbeWindow;
 
-  constructor(private readonly deps: CommandSenderDeps) {}
+  constructor(private readonly deps: CommandSenderDeps) {
+    this.probes = new ProbeWindow(deps.mostInflight);
+  }
+
+  /** Called at regular intervals: how late the timer fired tells whether this controller keeps up. */
+  timerFired(lateMs: number): void {
+    this.probes.timerFired(lateMs);
+  }
+
+  /** Whether its silence would tell anything yet. */
+  isWorthProbing(m: Machine, now: number): boolean {
+    return m.asked === null || now - m.renewedAt > SPEAKS_SOON_MS;
+  }
 
   private collect(m: Machine, now: number): Batch {
     const stops: WorkerCommand[] = [];
@@ -123,7 +139,7 @@
     // A dead machine holds its request until it is given up. However many are dead at once, the others get theirs.
     const most = this.deps.mostInflight;
     if (m.commandFailures > 0 && this.failing >= most * FAILING_SHARE) return false;
-    return !probe || this.inflight < most * PROBE_SHARE;
+    return !probe || this.inflight < this.probes.size();
   }
 
   /** Sends what is due. With `probe`, also an empty request: its answer is a report under our token. */
@@ -140,7 +156,8 @@
     // could otherwise start it anew: copies have lower tokens.
     const forgets = m.stored ? dueForgets(m, now) : [];
     if (forgets.length > 0) table.raise(m);
-    const timeoutMs = commands.length === 0 ? PROBE_MS : Infinity;
+    // While we are behind, answers wait unread: giving up on them would only cost another request.
+    const timeoutMs = commands.length === 0 && !this.probes.isShrunk() ? PROBE_MS : Infinity;
     void this.send(m, [...forgets, ...commands], starts, Math.min(timeoutMs, this.deps.timeoutMs));
   }
 
--- /dev/null
+++ b/test/probe-window.test.ts
@@ -0,0 +1,31 @@
+/** How many probes a leader has under way follows whether it keeps up. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { ProbeWindow } from '../src/workers/probe-window.js';
+
+const REQUESTS = 160;
+const ON_TIME_MS = 3;
+const LATE_MS = 400;
+
+test('probes make way while timers fire late, and come back step by step', () => {
+  const probes = new ProbeWindow(REQUESTS);
+  const first = probes.size();
+  assert.equal(probes.isShrunk(), false);
+  probes.timerFired(LATE_MS);
+  assert.ok(probes.size() <= first / 2 && probes.isShrunk());
+  for (let i = 0; i < 50; i++) probes.timerFired(LATE_MS);
+  assert.ok(probes.size() > 0, 'what is silent is still asked');
+  let last = probes.size();
+  for (let i = 0; i < 50; i++) {
+    probes.timerFired(ON_TIME_MS);
+    assert.ok(probes.size() >= last && probes.size() - last <= REQUESTS / 8, 'no rush');
+    last = probes.size();
+  }
+  assert.ok(last > first && last < REQUESTS, 'commands are always left some');
+});
+
+test('a node that may send few requests has a window within them', () => {
+  const probes = new ProbeWindow(10);
+  for (let i = 0; i < 20; i++) probes.timerFired(ON_TIME_MS);
+  assert.ok(probes.size() >= 1 && probes.size() <= 10);
+});
