Connections whose worker has given up are dropped, and silence proves less while behind

Counting sockets each second showed it: 925 workers connect at once, wait for longer than the 4 s after which they give up, and connect anew; a queue that is taken in its order then holds nothing but connections that nobody waits at any more, up to the last socket (EMFILE). Worker leases ran out meanwhile, and machines that had not answered were deleted.

Change: whether its peer is gone is looked at before the first report of a connection is handled; when most of them are, the whole queue is dropped unread, and whoever still waits comes again at once. A probe's answer takes several turns of the event loop, so while timers are late it is given as long as a command's, and it takes four probes without an answer instead of two to give up a machine that holds up a takeover.

--- a/src/fleet/silence.ts
+++ b/src/fleet/silence.ts
@@ -32,6 +32,9 @@
 /** In a large fleet more machines may be given up in a round. */
 const DELETIONS_SHARE = 0.12;
 const PATIENCE_SLACK_MS = 500;
+/** Requests without an answer after which a machine counts as holding up a takeover; and while we are behind. */
+const UNANSWERED = 2;
+const UNANSWERED_WHILE_BEHIND = 4;
 
 export interface SilenceDeps {
   table: MachineTable;
@@ -112,12 +115,13 @@
 
   /**
    * After a takeover all old jobs wait for the last machine to speak. Where nearly all have answered our probes,
-   * one that has not is likely dead or deaf: it is not given the time that a silent machine has otherwise, and
-   * whether we were behind does not matter, since the answers of the others have been read. A lost zone whose
+   * one that has not is likely dead or deaf: it is not given the time that a silent machine has otherwise. While
+   * we are behind it takes more unanswered probes to say so, since answers may wait unread. A lost zone whose
    * machines nobody can keep alive is not waited for either: all other zones' old jobs would stand still.
    */
-  private holdsUpTakeover(m: Machine, nearlyAll: boolean, now: number): boolean {
-    if (!m.suspect || m.certain() || m.commandFailures < 2 || !nearlyAll) return false;
+  private holdsUpTakeover(m: Machine, { nearlyAll, behind, now }: Look): boolean {
+    const failures = behind ? UNANSWERED_WHILE_BEHIND : UNANSWERED;
+    if (!m.suspect || m.certain() || m.commandFailures < failures || !nearlyAll) return false;
     return now - this.tookOverAt > (this.lost.has(m.zone) ? 2 * TAKEOVER_MS : TAKEOVER_MS);
   }
 
@@ -212,7 +216,7 @@
     // Taken by the cloud, most likely. Its deletion proves it, and can't hit a machine that lives.
     if (m.unlisted && this.isOverdue(m, now)) return true;
     const noticed = m.noticeUntil !== null && now > m.noticeUntil;
-    const holdsUp = this.holdsUpTakeover(m, look.nearlyAll, now);
+    const holdsUp = this.holdsUpTakeover(m, look);
     const quiet = now - m.heardAt;
     if (!holdsUp && !this.isSurelySilent(m, quiet, look)) return false;
     if (this.lost.has(m.zone) && !noticed) return this.givesUpLost(m, holdsUp, quiet, now);
--- a/src/http-server.ts
+++ b/src/http-server.ts
@@ -1,10 +1,13 @@
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import type { Socket } from 'node:net';
 import express, { type NextFunction, type Request, type Response } from 'express';
 import type { ControllerNode } from './node.js';
 import type { Answer } from './jobs/api.js';
 import { type Body, decodeMap, encode } from './wire/cbor.js';
 import { userPaths } from './wire/users.js';
 import { workerPaths } from './wire/workers.js';
+import { AcceptQueue } from './accept-queue.js';
+import type { Log } from './runtime.js';
 import { shareSockets } from './sockets.js';
 
 const MAX_BODY = 64 * 1024;
@@ -37,7 +40,7 @@
 }
 
 /** Whatever goes wrong with a report, it harms that report alone. */
-function answered(f: () => Answer): Answer {
+function safely(f: () => Answer): Answer {
   try {
     return f();
   } catch {
@@ -48,11 +51,9 @@
 const NOT_NOW: Answer = { status: 503, body: {}, retryAfterS: 1 };
 const MALFORMED: Answer = { status: 400, body: { error: 'not a CBOR map' } };
 
-/** Users, workers and health checks. */
-export function httpServer(node: ControllerNode, sockets: number): Server {
+/** Users' requests and health checks. */
+function userApp(node: ControllerNode): express.Express {
   const app = express();
-  const shares = shareSockets(sockets);
-  let open = 0;
   app.disable('x-powered-by');
   app.disable('etag');
   app.use(express.raw({ type: () => true, limit: MAX_BODY }));
@@ -89,10 +90,18 @@
     const client = err.status !== undefined && err.status >= 400 && err.status < 500;
     reply(res, client ? { status: 400, body: { error: 'malformed request' } } : NOT_NOW);
   });
+  return app;
+}
+
+/** Users, workers and health checks. */
+export function httpServer(node: ControllerNode, sockets: number, log: Log): Server {
+  const app = userApp(node);
+  const shares = shareSockets(sockets);
+  let open = 0;
   // There can be more workers than sockets: when these run short, a worker connects anew for its next report. One
   // that is sent elsewhere is not expected back.
   const beat = (body: Buffer, res: ServerResponse): void => {
-    const a = answered(() => node.beat(decodeMap(body)));
+    const a = safely(() => node.beat(decodeMap(body)));
     const close = a.status !== 200 || open > shares.workersKept;
     const bytes = encode(a.body);
     res.writeHead(a.status, [
@@ -102,12 +111,26 @@
     ]);
     res.end(bytes);
   };
+  const answered = new WeakSet<Socket>();
   const server = createServer((req, res) => {
-    if (req.method === 'POST' && req.url === workerPaths.report)
-      readBody(req, (body) => {
+    if (req.method !== 'POST' || req.url !== workerPaths.report) {
+      app(req, res);
+      return;
+    }
+    readBody(req, (body) => {
+      const { socket } = req;
+      if (answered.has(socket)) {
+        beat(body, res);
+        return;
+      }
+      answered.add(socket);
+      queue.whenStillThere(socket, () => {
         beat(body, res);
       });
-    else app(req, res);
+    });
+  });
+  const queue = new AcceptQueue(server, shares.inbound, log, (ms, fn) => {
+    setTimeout(fn, ms);
   });
   server.on('connection', (socket) => {
     open++;
@@ -116,6 +139,5 @@
   server.keepAliveTimeout = IDLE_MS;
   server.headersTimeout = IDLE_MS;
   server.requestTimeout = IDLE_MS;
-  server.maxConnections = shares.inbound;
   return server;
 }
--- a/src/leadership/leader-term.ts
+++ b/src/leadership/leader-term.ts
@@ -189,7 +189,7 @@
       keptUntil: (zone) => keptUntil(zone, settings, this.grants, this.leaseExtensionMs),
       homeZones: new Set([settings.zone, ...settings.peers.map((p) => p.zone)]),
       leaseS: settings.leaseS,
-      behind: () => this.lateness.isBehind(world.clock.now()),
+      behind: () => this.lateness.isBehind(world.clock.now()) || this.sender.isCongested(),
       gone: (m) => {
         this.table.remove(m, world.clock.now());
         this.registry.removed(m);
--- a/src/main.ts
+++ b/src/main.ts
@@ -92,7 +92,7 @@
   peers.messages.subscribe((m) => {
     node.peerMessage(m);
   });
-  const server = httpServer(node, settings.sockets);
+  const server = httpServer(node, settings.sockets, log);
   const [host, port] = settings.listen.split(':');
   server.on('error', (e) => fail(`listen: ${e.message}`));
   server.listen(Number(port), host, shareSockets(settings.sockets).backlog, () => {
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -99,6 +99,11 @@
     this.probes.timerFired(lateMs);
   }
 
+  /** Answers may wait unread for longer than timers are late. */
+  isCongested(): boolean {
+    return this.probes.isCongested();
+  }
+
   /** Whether its silence would tell anything yet. */
   isWorthProbing(m: Machine, now: number): boolean {
     return m.asked === null || now - m.renewedAt > SPEAKS_SOON_MS;
@@ -157,7 +162,7 @@
     const forgets = m.stored ? dueForgets(m, now) : [];
     if (forgets.length > 0) table.raise(m);
     // While we are behind, answers wait unread: giving up on them would only cost another request.
-    const timeoutMs = commands.length === 0 && !this.probes.isShrunk() ? PROBE_MS : Infinity;
+    const timeoutMs = commands.length === 0 && !this.probes.isCongested() ? PROBE_MS : Infinity;
     void this.send(m, [...forgets, ...commands], starts, Math.min(timeoutMs, this.deps.timeoutMs));
   }
 
--- a/src/workers/probe-window.ts
+++ b/src/workers/probe-window.ts
@@ -11,10 +11,13 @@
 const STEP = 12;
 /** A timer that fires this late: answers have waited at least as long. */
 const LATE_MS = 120;
+/** After so many timers on time this controller keeps up again. */
+const ON_TIME_IN_A_ROW = 10;
 
 export class ProbeWindow {
   private readonly largest: number;
   private current: number;
+  private onTimeInARow = ON_TIME_IN_A_ROW;
 
   constructor(mostRequests: number) {
     this.largest = Math.max(SMALLEST, Math.floor(mostRequests * LARGEST_SHARE));
@@ -25,13 +28,18 @@
     return this.current;
   }
 
-  /** This controller was behind of late. */
-  isShrunk(): boolean {
-    return this.current < Math.min(FIRST, this.largest);
+  /** Timers fired late a moment ago. A request takes several turns of the event loop, so its answer may wait far longer. */
+  isCongested(): boolean {
+    return this.onTimeInARow < ON_TIME_IN_A_ROW;
   }
 
   timerFired(lateMs: number): void {
-    if (lateMs > LATE_MS) this.current = Math.max(SMALLEST, this.current >> 1);
-    else this.current = Math.min(this.largest, this.current + STEP);
+    if (lateMs > LATE_MS) {
+      this.onTimeInARow = 0;
+      this.current = Math.max(SMALLEST, this.current >> 1);
+      return;
+    }
+    this.onTimeInARow++;
+    this.current = Math.min(this.largest, this.current + STEP);
   }
 }
--- a/test/http-server.test.ts
+++ b/test/http-server.test.ts
@@ -1,14 +1,16 @@
 /** Real sockets on loopback: what happens when more workers want connections than there are sockets. */
 import assert from 'node:assert/strict';
 import { Agent, request } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { type AddressInfo, connect } from 'node:net';
 import { test } from 'node:test';
 import { httpServer } from '../src/http-server.js';
 import type { ControllerNode } from '../src/node.js';
+import type { Log } from '../src/runtime.js';
 import { shareSockets } from '../src/sockets.js';
 import { encode } from '../src/wire/cbor.js';
 
 const LIMIT = 60;
+const quiet = { info: () => undefined, debug: () => undefined, error: () => undefined };
 
 /** A node that answers reports as the leader, or as a follower, does. */
 function answering(status: number): ControllerNode {
@@ -31,8 +33,12 @@
   });
 }
 
-async function served(node: ControllerNode, fn: (port: number) => Promise<void>): Promise<void> {
-  const server = httpServer(node, LIMIT);
+async function served(
+  node: ControllerNode,
+  fn: (port: number) => Promise<void>,
+  log: Log = quiet,
+): Promise<void> {
+  const server = httpServer(node, LIMIT, log);
   await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
   try {
     await fn((server.address() as AddressInfo).port);
@@ -67,6 +73,52 @@
   });
 });
 
+/** Connects, sends a report and gives up before it can be answered. */
+function giveUp(port: number): Promise<void> {
+  return new Promise((done) => {
+    const socket = connect({ port, host: '127.0.0.1' }, () => {
+      socket.write('POST /agent/beat HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n');
+      socket.end();
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      done();
+    });
+    socket.resume();
+  });
+}
+
+// After a restart of all controllers of anketsis-pazar the leader answered 3000 reports in 16 s, and none of them in time.
+test('workers that gave up while they waited are not answered, and those that still wait are', async () => {
+  let reports = 0;
+  const lines: string[] = [];
+  const node = {
+    beat: () => {
+      reports++;
+      return { status: 200, body: {} };
+    },
+    healthy: () => true,
+  } as Partial<ControllerNode> as ControllerNode;
+  const log = { ...quiet, info: (_fields: object, text: string) => void lines.push(text) };
+  await served(
+    node,
+    async (port) => {
+      const kept = new Agent({ keepAlive: true, maxSockets: 1 });
+      assert.equal((await ask(port, 'POST', '/agent/beat', kept))[0], 200);
+      for (let wave = 0; wave < 3; wave++) await Promise.all(Array.from({ length: 20 }, () => giveUp(port)));
+      assert.equal(reports, 1);
+      assert.equal((await ask(port, 'POST', '/agent/beat', kept))[0], 200, 'open connections are served on');
+      await new Promise((done) => setTimeout(done, 200));
+      assert.ok(lines.some((line) => line.startsWith('dropped connections')));
+      const fresh = new Agent({ keepAlive: true });
+      assert.equal((await ask(port, 'POST', '/agent/beat', fresh))[0], 200, 'the queue is open again');
+      for (const agent of [kept, fresh]) agent.destroy();
+    },
+    log,
+  );
+  assert.equal(reports, 3);
+});
+
 test('a report that can not be handled gets 503 and harms nothing else; one that is too large, 400', async () => {
   const faulty = {
     beat: (body: unknown) => {
--- a/test/probe-window.test.ts
+++ b/test/probe-window.test.ts
@@ -10,9 +10,9 @@
 test('probes make way while timers fire late, and come back step by step', () => {
   const probes = new ProbeWindow(REQUESTS);
   const first = probes.size();
-  assert.equal(probes.isShrunk(), false);
+  assert.equal(probes.isCongested(), false);
   probes.timerFired(LATE_MS);
-  assert.ok(probes.size() <= first / 2 && probes.isShrunk());
+  assert.ok(probes.size() <= first / 2 && probes.isCongested());
   for (let i = 0; i < 50; i++) probes.timerFired(LATE_MS);
   assert.ok(probes.size() > 0, 'what is silent is still asked');
   let last = probes.size();
@@ -21,6 +21,7 @@
     assert.ok(probes.size() >= last && probes.size() - last <= REQUESTS / 8, 'no rush');
     last = probes.size();
   }
+  assert.equal(probes.isCongested(), false);
   assert.ok(last > first && last < REQUESTS, 'commands are always left some');
 });
 
