--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,13 +22,9 @@
       eqeqeq: 'error',
       'max-lines': ['error', 500],
       'max-lines-per-function': ['error', 80],
-      complexity: ['error', 20],
+      complexity: ['error', 16],
     },
   },
-  {
-    files: ['src/**'],
-    rules: { complexity: ['error', 16] },
-  },
   {
     files: ['test/**'],
     rules: {
--- a/test/cloud.test.ts
+++ b/test/cloud.test.ts
@@ -28,7 +28,7 @@
   const service = new CloudService(
     clock,
     random,
-    new Map([['a|false', MACHINES]]),
+    [{ type: 't16', zone: 'a', count: MACHINES }],
     () => ({ kill: () => undefined }) as unknown as Worker,
     (id) => `w-${id}:9000`,
     RPS,
--- a/test/demo.ts
+++ b/test/demo.ts
@@ -124,8 +124,8 @@
 network.hosts.set(CONTROLLER, { handler: toController, hangsUntil: 0 });
 rules.jobs.set(String(JOB.id), jobFacts(JOB, 0));
 const state = new StateService(clock, random);
-const pools = ['a|false', 'a|true', 'b|false', 'b|true'].map((key) => [key, MACHINES_PER_POOL] as const);
-const cloud = new CloudService(clock, random, new Map(pools), bootWorker, endpointOf);
+const pools = ['a', 'b'].map((zone) => ({ type: 't16', zone, count: MACHINES_PER_POOL }));
+const cloud = new CloudService(clock, random, pools, bootWorker, endpointOf);
 serve(STATE_PORT, (method, path, body, from) => state.handle(method, path, body, from));
 serve(CLOUD_PORT, (_method, path, body) => cloud.handle(path, body));
 console.log('stand-ins are up; waiting for the controller');
--- a/test/sim/cloud.ts
+++ b/test/sim/cloud.ts
@@ -15,7 +15,26 @@
   condition: 'starting' | 'running' | 'failed';
 }
 
-export const TYPES = [
+/** A machine type as the catalog tells of it, apart from its zones. */
+export interface CloudType {
+  name: string;
+  vcpus: number;
+  gpus: number;
+  ram_gb: number;
+  fetch_gb_per_s: number;
+  price: number;
+  spot_price: number;
+  boot_s: number;
+}
+
+/** How many machines of a type there are in a zone, of each kind: ordinary and spot. */
+export interface CloudPool {
+  type: string;
+  zone: string;
+  count: number;
+}
+
+export const TYPES: CloudType[] = [
   {
     name: 't16',
     vcpus: 16,
@@ -46,10 +65,11 @@
   constructor(
     private readonly clock: VirtualClock,
     private readonly random: SeededRandom,
-    private readonly capacity: Map<string, number>,
+    private readonly pools: CloudPool[],
     private readonly boot: (m: CloudMachine) => Worker,
     private readonly endpointOf: (id: string) => string = (id) => `w-${id}:9000`,
     private readonly rps = Infinity,
+    private readonly types = TYPES,
   ) {
     this.level = 2 * rps;
     this.snapshotLoop();
@@ -133,8 +153,9 @@
     if (this.tooMany()) return { status: 429, body: {} };
     if (this.clock.time < this.downUntil) return { status: 503, body: { error: 'trouble' } };
     if (path === '/catalog') {
-      const yards = [...new Set([...this.capacity.keys()].map((k) => k.split('|')[0]))];
-      return { status: 200, body: { stone_kinds: TYPES.map((t) => ({ ...t, yards })) } };
+      const yardsOf = (type: CloudType): string[] =>
+        this.pools.filter((pool) => pool.type === type.name).map((pool) => pool.zone);
+      return { status: 200, body: { stone_kinds: this.types.map((t) => ({ ...t, yards: yardsOf(t) })) } };
     }
     if (path === '/machines/delete') {
       for (const id of body.stones as string[]) {
@@ -147,13 +168,16 @@
     const hire = body.hire as string;
     const old = this.answers.get(hire);
     if (old) return { status: 200, body: { stones: old } };
-    const key = `${body.yard as string}|${String(body.loaned_stones)}`;
-    const used = [...this.machines.values()].filter((m) => `${m.zone}|${m.spot}` === key).length;
-    const n = Math.min(narrow(body.number)!, (this.capacity.get(key) ?? 0) - used);
+    const spot = body.loaned_stones === true;
+    const pool = this.pools.find((p) => p.type === body.stone_kind && p.zone === body.yard);
+    const used = [...this.machines.values()].filter(
+      (m) => m.type === body.stone_kind && m.zone === body.yard && m.spot === spot,
+    ).length;
+    const n = Math.min(narrow(body.number)!, (pool?.count ?? 0) - used);
     if (n <= 0) return { status: 503, body: { error: 'no capacity' } };
     const ids = Array.from(
       { length: n },
-      () => this.add(body.stone_kind as string, body.yard as string, body.loaned_stones === true, false).id,
+      () => this.add(body.stone_kind as string, body.yard as string, spot, false).id,
     );
     this.answers.set(hire, ids);
     return { status: 200, body: { stones: ids } };
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -5,7 +5,7 @@
 import type { Objective, PlatformSettings } from '../../src/settings/platform.js';
 import type { PeerMessage } from '../../src/peers/peers.js';
 import type { Body } from '../../src/wire/cbor.js';
-import { CloudService, type CloudMachine } from './cloud.js';
+import { CloudService, type CloudMachine, type CloudPool, type CloudType, TYPES } from './cloud.js';
 import { VirtualClock } from './clock.js';
 import { GANG_PEER_MS, GANG_WAIT_MS, GangCoordinator } from './gang-coordinator.js';
 import { Network } from './network.js';
@@ -19,6 +19,9 @@
   saveMoney?: boolean;
   /** Machines of each zone and kind. */
   capacity?: number;
+  /** Machine types, and where they are; else one type everywhere. */
+  types?: CloudType[];
+  pools?: CloudPool[];
   /** Zones of machines; controllers are in `a` and `b` only. */
   zones?: string[];
   ordinaryUp?: number;
@@ -83,14 +86,15 @@
     this.state = new StateService(this.clock, this.random, config.state ?? null);
     const cap = config.capacity ?? 4;
     const zones = config.zones ?? ['a', 'b'];
-    const capacity = new Map(zones.flatMap((z) => [`${z}|false`, `${z}|true`]).map((k) => [k, cap]));
+    const pools = config.pools ?? zones.map((zone) => ({ type: 't16', zone, count: cap }));
     this.cloud = new CloudService(
       this.clock,
       this.random,
-      capacity,
+      pools,
       (m) => this.bootWorker(m),
       (id) => `w-${id}:9000`,
       config.cloudRps ?? CLOUD_RPS,
+      config.types,
     );
     this.net.hosts.set('state:1', {
       handler: (m, p, b, from) => this.state.handle(m, p, b, from),
@@ -102,12 +106,16 @@
       this.cloud.add('t16', zones[(i + 1) % zones.length], false, true);
   }
 
+  private cpusOf(machine: CloudMachine): number {
+    return (this.config.types ?? TYPES).find((type) => type.name === machine.type)!.vcpus;
+  }
+
   private bootWorker(m: CloudMachine): Worker {
     const w = new Worker(this.net, this.random, this.rules, this.gangs, {
       id: m.id,
       address: `w-${m.id}:9000`,
       type: m.type,
-      cpus: 16,
+      cpus: this.cpusOf(m),
       zone: m.zone,
       spot: m.spot,
       reportMs: this.config.reportMs ?? REPORT_MS,
@@ -423,7 +431,7 @@
       for (const p of places) used.set(p.machine, (used.get(p.machine) ?? 0) + this.rules.cpusOf(task));
     return [...this.cloud.machines.values()]
       .filter((m) => m.worker && !m.worker.config.faulty)
-      .map((m) => ({ ...m, machine: m.id, freeCpus: 16 - (used.get(m.id) ?? 0) }));
+      .map((m) => ({ ...m, machine: m.id, freeCpus: this.cpusOf(m) - (used.get(m.id) ?? 0) }));
   }
 
   async run(seconds: number): Promise<void> {
--- a/test/sim/rules.ts
+++ b/test/sim/rules.ts
@@ -103,18 +103,8 @@
     const s = job.spec;
     const there = this.on.get(task) ?? [];
     if (there.length > 0) this.break('ran_twice', `${task} on ${place.machine} and ${there[0].machine}`);
-    const types = s.stone_kinds as string[] | null;
-    if (types && !types.includes(place.type)) this.break('wrong_place', `${task} on type ${place.type}`);
-    if (s.yard && s.yard !== place.zone) this.break('wrong_place', `${task} in zone ${place.zone}`);
-    if (place.spot && !s.loaned_stones) this.break('wrong_place', `${task} on a spot machine`);
-    const others = [...this.tasksOf(id)];
-    if (s.one_zone && others.some((p) => p.zone !== place.zone))
-      this.break('wrong_place', `${task} not in one zone`);
-    if (s.scatter) {
-      const same = others.filter((p) => p.zone === place.zone).length + 1;
-      if (same > Math.ceil((s.sacks as number) / 2))
-        this.break('wrong_place', `${task}: ${same} in ${place.zone}`);
-    }
+    this.checkPlace(task, s, place);
+    this.checkZones(task, s, place, [...this.tasksOf(id)]);
     if (job.toldCancelledAt !== null) this.startsCancelled.push(this.now() - job.toldCancelledAt);
     job.firstStartAt ??= this.now();
     job.waitsSince = null;
@@ -126,6 +116,23 @@
       this.break('quota', `${s.miller as string} by ${task}`);
   }
 
+  private checkPlace(task: string, spec: Body, place: Place): void {
+    const types = spec.stone_kinds as string[] | null;
+    if (types && !types.includes(place.type)) this.break('wrong_place', `${task} on type ${place.type}`);
+    if (spec.yard && spec.yard !== place.zone) this.break('wrong_place', `${task} in zone ${place.zone}`);
+    if (place.spot && !spec.loaned_stones) this.break('wrong_place', `${task} on a spot machine`);
+  }
+
+  /** Given where the job's other tasks are. */
+  private checkZones(task: string, spec: Body, place: Place, others: Place[]): void {
+    if (spec.one_zone && others.some((p) => p.zone !== place.zone))
+      this.break('wrong_place', `${task} not in one zone`);
+    if (!spec.scatter) return;
+    const same = others.filter((p) => p.zone === place.zone).length + 1;
+    if (same > Math.ceil((spec.sacks as number) / 2))
+      this.break('wrong_place', `${task}: ${same} in ${place.zone}`);
+  }
+
   leave(task: string, machine: string, done: boolean): void {
     const there = this.on.get(task) ?? [];
     const left = there.filter((p) => p.machine !== machine);
@@ -151,10 +158,7 @@
     }
     job.toldAccepted = true;
     job.answeredAt = this.now();
-    if (job.toldDoneAt !== null && job.toldDoneAt <= asked && condition !== 'done')
-      this.break('went_back', `${id} was done, now ${String(condition)}`);
-    if (job.toldCancelledAt !== null && job.toldCancelledAt <= asked && condition !== 'cancelled')
-      this.break('went_back', `${id} was cancelled`);
+    this.checkStands(id, job, condition, asked);
     if (condition === 'cancelled') {
       if (!job.cancelAsked) this.break('went_back', `${id} cancelled by nobody`);
       job.toldCancelledAt ??= this.now();
@@ -166,6 +170,14 @@
     }
   }
 
+  /** A job that was called done or cancelled before the question stays so. */
+  private checkStands(id: string, job: JobFacts, condition: unknown, asked: number): void {
+    if (job.toldDoneAt !== null && job.toldDoneAt <= asked && condition !== 'done')
+      this.break('went_back', `${id} was done, now ${String(condition)}`);
+    if (job.toldCancelledAt !== null && job.toldCancelledAt <= asked && condition !== 'cancelled')
+      this.break('went_back', `${id} was cancelled`);
+  }
+
   /** All troubles are over since `from`: nobody's job may go without an answer. */
   checkKnown(from: number): void {
     for (const [id, job] of this.jobs) {
@@ -208,18 +220,27 @@
       used.set(team, (used.get(team) ?? 0) + this.cpusOf(task));
     }
     for (const [id, job] of this.jobs) {
-      const s = job.spec;
-      const team = s.miller as string;
-      const under = (used.get(team) ?? 0) + (s.vcpus as number) <= (this.limits.get(team) ?? Infinity);
-      const left = (s.sacks as number) - job.finished.size - (this.byJob.get(id)?.size ?? 0);
-      const asked = job.toldAccepted && !job.cancelAsked && s.broken !== true && left > 0;
-      if (!asked || !under || !this.hasRoom(job, id, rooms)) job.waitsSince = null;
-      else {
-        job.waitsSince ??= this.now();
-        if (this.now() - job.waitsSince > WAITING_MS && !this.broken.some((b) => b.includes(`waits: ${id}`)))
-          this.break('waits', id);
-      }
+      const team = job.spec.miller as string;
+      const cpus = (used.get(team) ?? 0) + (job.spec.vcpus as number);
+      const isUnderLimit = cpus <= (this.limits.get(team) ?? Infinity);
+      const waits = this.hasTasksLeft(id, job) && isUnderLimit && this.hasRoom(job, id, rooms);
+      this.noteWaiting(id, job, waits);
+    }
+  }
+
+  private hasTasksLeft(id: string, job: JobFacts): boolean {
+    if (!job.toldAccepted || job.cancelAsked || job.spec.broken === true) return false;
+    return (job.spec.sacks as number) - job.finished.size - (this.byJob.get(id)?.size ?? 0) > 0;
+  }
+
+  private noteWaiting(id: string, job: JobFacts, waits: boolean): void {
+    if (!waits) {
+      job.waitsSince = null;
+      return;
     }
+    job.waitsSince ??= this.now();
+    if (this.now() - job.waitsSince > WAITING_MS && !this.broken.some((b) => b.includes(`waits: ${id}`)))
+      this.break('waits', id);
   }
 
   /** Of each class, each team and the largest jobs of each class at least half are served, and these begin in time. */
--- /dev/null
+++ b/test/uneven-zones.test.ts
@@ -0,0 +1,94 @@
+/**
+ * A platform of the shape of anketsis-pazar: three controllers, no machine up at the start, machines of the size of one task
+ * beside large ones, and a zone with large machines only.
+ */
+import assert from 'node:assert/strict';
+import type { CloudPool, CloudType } from './sim/cloud.js';
+import type { Cluster } from './sim/cluster.js';
+import { BATCH, DESK } from './sim/jobs.js';
+import { testDays } from './sim/play.js';
+
+const TASK_CPUS = 4;
+
+function machineType(name: string, cpus: number, pricePerCpu: number): CloudType {
+  return {
+    name,
+    vcpus: cpus,
+    gpus: 0,
+    ram_gb: 4 * cpus,
+    fetch_gb_per_s: 0.5,
+    price: pricePerCpu * cpus,
+    spot_price: 0.4 * pricePerCpu * cpus,
+    boot_s: 5,
+  };
+}
+
+const TYPES = [
+  machineType('small-4', 4, 0.0625),
+  machineType('medium-16', 16, 0.058),
+  machineType('large-64', 64, 0.0584),
+];
+const POOLS: CloudPool[] = [
+  { type: 'small-4', zone: 'a', count: 8 },
+  { type: 'small-4', zone: 'b', count: 12 },
+  { type: 'medium-16', zone: 'a', count: 3 },
+  { type: 'large-64', zone: 'c', count: 1 },
+];
+
+function submit(c: Cluster, body: object, cancelAfterMs: number | null = null): void {
+  void c.user(c.jobBody({ vcpus: TASK_CPUS, ...body }), cancelAfterMs);
+}
+
+/** At the start all that waits for the first machines; then a stream of arrays, more than there is room for at times. */
+function work(c: Cluster, second: number): void {
+  const urgent = { ...BATCH, grist: 'urgent', precedence: 'high', loaned_stones: true, grind_s: 3 };
+  const normal = { ...BATCH, loaned_stones: true, grind_s: 6 };
+  if (second === 0)
+    for (const sacks of [2, 3, 3, 2]) submit(c, { ...DESK, sacks }, c.random.chance(0.3) ? 30_000 : null);
+  if (second % 6 === 0) submit(c, { ...normal, sacks: c.random.int(8, 24) });
+  if (second % 9 === 4) submit(c, { ...urgent, sacks: c.random.int(6, 16) });
+}
+
+/** The controllers are restarted one after the other, with the state service slow, and the cloud's interface down. */
+function troubles(c: Cluster, second: number): void {
+  if (second === 15) c.state.slowReads = { byMs: 400, until: c.clock.time + 20_000 };
+  if (second === 18) c.cloud.downUntil = c.clock.time + 20_000;
+  if (second >= 20 && second < 38 && (second - 20) % 6 === 0) c.crash(c.names[(second - 20) / 6], 2000);
+  if (second === 42)
+    c.net.cuts.push({ a: c.inZone('b'), b: () => true, until: c.clock.time + 9000, mode: 'hold' });
+}
+
+testDays(
+  'one-task machines, a zone of large ones: slow state service, no cloud, a roll, a zone cut off',
+  [41, 42],
+  (c, second) => {
+    work(c, second);
+    troubles(c, second);
+  },
+  { nodes: 3, ordinaryUp: 0, types: TYPES, pools: POOLS, teamLimit: 400 },
+  ({ cluster }) => {
+    const zones = new Set([...cluster.cloud.machines.values()].map((m) => m.zone));
+    assert.ok(zones.has('c'), 'the zone of large machines is used');
+    const names = [...cluster.cloud.machines.keys()];
+    assert.ok(
+      names.length <= 2 * POOLS.reduce((sum, pool) => sum + pool.count, 0),
+      'nothing is rented twice',
+    );
+  },
+);
+
+testDays(
+  'teams within and beyond their guarantees, urgent and not, on a full fleet: what starts is not stopped in turn',
+  [43],
+  (c, second) => {
+    const arrays = { ...BATCH, loaned_stones: true, grind_s: 5 };
+    if (second > 30 || second % 2 === 1) return;
+    submit(c, { ...arrays, grist: 'urgent', precedence: 'high', miller: 't0', sacks: 20 });
+    submit(c, { ...arrays, precedence: 'normal', miller: 't1', sacks: 4 });
+  },
+  { nodes: 3, ordinaryUp: 0, types: TYPES, pools: POOLS.slice(0, 2), teamLimit: 400 },
+  ({ cluster }) => {
+    const tasks = [...cluster.rules.jobs.values()].reduce((sum, job) => sum + (job.spec.sacks as number), 0);
+    assert.ok(cluster.rules.starts < 1.6 * tasks, `${cluster.rules.starts} starts for ${tasks} tasks`);
+  },
+);
