--- a/src/http-server.ts
+++ b/src/http-server.ts
@@ -1,4 +1,3 @@
-/** The HTTP server for users, workers and health checks. */
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
 import type { Socket } from 'node:net';
 import express, { type NextFunction, type Request, type Response } from 'express';
--- a/src/placement/quota.ts
+++ b/src/placement/quota.ts
@@ -1,4 +1,3 @@
-/** What each team uses, against its guarantee and its limit. */
 import type { Team } from '../settings/platform.js';
 import type { JobSpec } from '../wire/model.js';
 
--- a/src/settings/money.ts
+++ b/src/settings/money.ts
@@ -1,4 +1,3 @@
-/** Tells from the settings whether rented machines should be few or stand ready. */
 import type { OperatorSettings } from './operator.js';
 import type { PlatformSettings } from './platform.js';
 
--- a/src/settings/platform.ts
+++ b/src/settings/platform.ts
@@ -1,7 +1,3 @@
-/**
- * Reads the settings file that the platform hands over (TOML). A missing or invalid field is named in the
- * error.
- */
 import { parse } from 'smol-toml';
 
 export interface Team {
--- a/src/state-store/client.ts
+++ b/src/state-store/client.ts
@@ -1,7 +1,3 @@
-/**
- * The client of the state service: typed results, a timeout for each request, and a budget within the
- * service's limits.
- */
 import type { Reply, World } from '../runtime.js';
 import {
   type Change,
--- a/src/wire/cbor.ts
+++ b/src/wire/cbor.ts
@@ -1,4 +1,3 @@
-/** CBOR bodies: encoding, decoding and the integers that don't fit into 32 bits. */
 import { Encoder } from 'cbor-x';
 
 const codec = new Encoder({ useRecords: false, variableMapSize: true, mapsAsObjects: true });
