--- a/test/cloud.test.ts
+++ b/test/cloud.test.ts
@@ -8,12 +8,12 @@
 import { VirtualClock } from './sim/clock.js';
 import { SeededRandom } from './sim/random.js';
 import type { Worker } from './sim/worker.js';
+import { quietLog } from './sim/quiet-log.js';
 
 const RPS = 3;
 const MACHINES = 4000;
 /** So fast that nothing but the budget keeps a list within the rate. */
 const CALL_MS = 40;
-const quiet = { info: () => undefined, debug: () => undefined, error: () => undefined };
 
 interface Setup {
   clock: VirtualClock;
@@ -44,7 +44,7 @@
           });
         }),
     },
-    log: quiet,
+    log: quietLog,
     random: () => 0.5,
   };
   await clock.runUntil(6000, () => undefined);
--- a/test/demo.ts
+++ b/test/demo.ts
@@ -6,14 +6,13 @@
 import { outgoing } from '../src/outgoing.js';
 import { type Body, decodeMap, encode } from '../src/wire/cbor.js';
 import { type CloudMachine, CloudService } from './sim/cloud.js';
-import { POLL_MS as WORKER_POLL_MS } from './sim/cluster.js';
 import { VirtualClock } from './sim/clock.js';
 import { GangCoordinator } from './sim/gang-coordinator.js';
 import { type Handler, Network } from './sim/network.js';
 import { SeededRandom } from './sim/random.js';
 import { Rules, jobFacts } from './sim/rules.js';
 import { StateService } from './sim/state-service.js';
-import { Worker } from './sim/worker.js';
+import { POLL_MS as WORKER_POLL_MS, Worker } from './sim/worker.js';
 
 const CONTROLLER = '127.0.0.1:8080';
 const STATE_PORT = 2379;
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -9,6 +9,7 @@
 import type { MachineType, WorkerReport } from '../src/wire/model.js';
 import { type Machine } from '../src/workers/machine.js';
 import { MachineTable } from '../src/workers/machine-table.js';
+import { quietLog } from './sim/quiet-log.js';
 
 const TYPE: MachineType = {
   name: 't',
@@ -48,7 +49,7 @@
           return Promise.resolve({ status, body: path.startsWith('/machines?') ? this.list() : {} });
         },
       },
-      log: { info: () => undefined, debug: () => undefined, error: () => undefined },
+      log: quietLog,
       random: () => 0.5,
     };
     const none = (): undefined => undefined;
--- a/test/http-server.test.ts
+++ b/test/http-server.test.ts
@@ -8,9 +8,9 @@
 import type { Log } from '../src/runtime.js';
 import { shareSockets } from '../src/sockets.js';
 import { encode } from '../src/wire/cbor.js';
+import { quietLog } from './sim/quiet-log.js';
 
 const LIMIT = 60;
-const quiet = { info: () => undefined, debug: () => undefined, error: () => undefined };
 
 /** A node that answers reports as the leader, or as a follower, does. */
 function answering(status: number): ControllerNode {
@@ -36,7 +36,7 @@
 async function served(
   node: ControllerNode,
   fn: (port: number) => Promise<void>,
-  log: Log = quiet,
+  log: Log = quietLog,
 ): Promise<void> {
   const server = httpServer(node, LIMIT, log);
   await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
@@ -99,7 +99,7 @@
     },
     healthy: () => true,
   } as Partial<ControllerNode> as ControllerNode;
-  const log = { ...quiet, info: (_fields: object, text: string) => void lines.push(text) };
+  const log = { ...quietLog, info: (_fields: object, text: string) => void lines.push(text) };
   await served(
     node,
     async (port) => {
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -2,22 +2,17 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Body } from '../src/wire/cbor.js';
-import { Cluster, type ClusterConfig } from './sim/cluster.js';
+import { Cluster } from './sim/cluster.js';
 import { BATCH, DESK } from './sim/jobs.js';
+import { type PlacementWork, addingUp } from './sim/scenarios.js';
 
 const MACHINES = 4000;
 const CPUS = 16;
 const LEASE_MS = 30_000;
 
-interface Work {
-  passes: number;
-  looks: number;
-  starts: number;
-}
-
 /** A fleet that is up, and the placement work of all its leaders. */
-function largeFleet(seed: number, config: Partial<ClusterConfig> = {}): { c: Cluster; work: Work } {
-  const work: Work = { passes: 0, looks: 0, starts: 0 };
+function largeFleet(seed: number): { c: Cluster; work: PlacementWork } {
+  const work: PlacementWork = { passes: 0, looks: 0, starts: 0 };
   const c = new Cluster({
     seed,
     nodes: 3,
@@ -31,11 +26,7 @@
     cloudRps: 3,
     pollMs: 400,
     state: { rps: 200, writeRps: 30 },
-    log: (_node, text, fields) => {
-      if (text !== 'round') return;
-      for (const k of ['passes', 'looks', 'starts'] as const) work[k] += (fields as Work)[k];
-    },
-    ...config,
+    log: addingUp(work),
   });
   return { c, work };
 }
@@ -55,7 +46,7 @@
 }
 
 /** Rules kept, nothing asked beyond the limits of others, and placing in proportion to what there was to place. */
-function expectProportionate(c: Cluster, work: Work, seconds: number): void {
+function expectProportionate(c: Cluster, work: PlacementWork, seconds: number): void {
   assert.deepEqual(c.rules.broken, []);
   assert.equal(c.cloud.asked.tooMany, 0);
   const { asked } = c.state;
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -14,6 +14,7 @@
 import { Timings, slowMachines } from '../src/placement/stragglers.js';
 import { finishGoals, servingOrder, urgency } from '../src/placement/order.js';
 import type { JobSpec, MachineType } from '../src/wire/model.js';
+import { quietLog } from './sim/quiet-log.js';
 
 function machineType(cpus: number): MachineType {
   return {
@@ -173,7 +174,6 @@
   jobs: JobTable,
   settings: Partial<PlatformSettings>,
 ): { table: MachineTable; placement: Placement } {
-  const quiet = { info: () => undefined, debug: () => undefined, error: () => undefined };
   const table: MachineTable = new MachineTable(100, 10_000, (id) => jobs.get(id), {
     attemptAdded: (e) => {
       placement.attemptAdded(e);
@@ -186,7 +186,7 @@
     world: {
       clock: { now: () => 0, after: () => () => undefined },
       http: { send: () => Promise.reject(new Error('nothing is sent')) },
-      log: quiet,
+      log: quietLog,
       random: () => 0.5,
     },
     settings: { objectives: [], ...settings } as PlatformSettings,
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import type { CloudMachine } from './sim/cloud.js';
 import { Cluster } from './sim/cluster.js';
+import { addingUp } from './sim/scenarios.js';
 
 const desk = (c: Cluster): void =>
   void c.user(
@@ -49,10 +50,7 @@
     reportMs: 3000,
     leaseMs: 15_000,
     state: { rps: 200, writeRps: 30 },
-    log: (_node, text, fields) => {
-      if (text !== 'round') return;
-      for (const k of ['passes', 'looks', 'starts'] as const) work[k] += (fields as typeof work)[k];
-    },
+    log: addingUp(work),
   });
   await c.run(3);
   let submitted = 0;
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -12,7 +12,8 @@
 import { SeededRandom } from './random.js';
 import { type Room, Rules, jobFacts } from './rules.js';
 import { StateService } from './state-service.js';
-import { Worker } from './worker.js';
+import { POLL_MS, Worker } from './worker.js';
+import { quietLog } from './quiet-log.js';
 
 export interface ClusterConfig {
   seed: number;
@@ -39,12 +40,10 @@
 }
 
 export const zoneOf = (node: string): string => (Number(node.slice(1)) % 2 ? 'b' : 'a');
-const quiet = { info: () => undefined, debug: () => undefined, error: () => undefined };
 export const REPORT_MS = 1000;
 export const LEASE_MS = 8000;
 export const CANCEL_MS = 22_000;
 const CLOUD_RPS = 5;
-export const POLL_MS = 50;
 
 interface Life {
   alive: boolean;
@@ -202,7 +201,7 @@
             });
           }),
       },
-      log: { ...quiet, info: (fields, text) => this.config.log?.(name, text, fields) },
+      log: { ...quietLog, info: (fields, text) => this.config.log?.(name, text, fields) },
       random: () => this.random.unit(),
     };
     const tell = (m: PeerMessage): void => {
--- a/test/sim/outsider.ts
+++ b/test/sim/outsider.ts
@@ -1,5 +1,6 @@
 import type { World } from '../../src/runtime.js';
 import type { Cluster } from './cluster.js';
+import { quietLog } from './quiet-log.js';
 
 /** The world of a client beside the controllers. */
 export function outsider(c: Cluster): World {
@@ -8,7 +9,7 @@
     http: {
       send: (to, method, path, body, timeoutMs) => c.net.send('n9:80', to, method, path, body, timeoutMs),
     },
-    log: { info: () => undefined, debug: () => undefined, error: () => undefined },
+    log: quietLog,
     random: () => 0.5,
   };
 }
--- a/test/sim/scenarios.ts
+++ b/test/sim/scenarios.ts
@@ -15,6 +15,21 @@
   return c;
 }
 
+/** What placing cost, as the leaders' rounds tell. */
+export interface PlacementWork {
+  passes: number;
+  looks: number;
+  starts: number;
+}
+
+/** A log that adds up the placement work of all leaders. */
+export function addingUp(work: PlacementWork): NonNullable<ClusterConfig['log']> {
+  return (_node, text, fields) => {
+    if (text !== 'round') return;
+    for (const k of ['passes', 'looks', 'starts'] as const) work[k] += (fields as PlacementWork)[k];
+  };
+}
+
 export const ids = (c: Cluster): string[] => [...c.rules.jobs.keys()];
 export const other = (c: Cluster, than: string): string => c.names.find((n) => n !== than)!;
 export const leaderOr = (c: Cluster): string => c.leader() ?? c.random.pick(c.names);
--- a/test/sim/worker.ts
+++ b/test/sim/worker.ts
@@ -13,6 +13,9 @@
   cancel: () => void;
 }
 
+/** How often a worker usually looks whether a report is due. */
+export const POLL_MS = 50;
+
 export interface WorkerConfig {
   id: string;
   address: string;
--- a/test/takeover-work.test.ts
+++ b/test/takeover-work.test.ts
@@ -5,6 +5,7 @@
 import { Machine } from '../src/workers/machine.js';
 import type { MachineType } from '../src/wire/model.js';
 import type { MachineTable } from '../src/workers/machine-table.js';
+import { quietLog } from './sim/quiet-log.js';
 
 const MACHINES = 4000;
 const LEASE_MS = 20_000;
@@ -42,8 +43,7 @@
     get: (id: string) => byId.get(id),
     size: () => byId.size,
   } as unknown as MachineTable;
-  const quiet = { info: () => undefined, debug: () => undefined, error: () => undefined };
-  const takeover = new Takeover(table, LEASE_MS, quiet, () => 0);
+  const takeover = new Takeover(table, LEASE_MS, quietLog, () => 0);
   for (const machine of machines) takeover.expect(machine);
   return { machines, takeover, looks: () => looks };
 }
