--- a/src/http-server.ts
+++ b/src/http-server.ts
@@ -1,3 +1,4 @@
+/** The HTTP server for users, workers and health checks. */
 import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
 import type { Socket } from 'node:net';
 import express, { type NextFunction, type Request, type Response } from 'express';
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -1,3 +1,4 @@
+/** Answers users: submissions, questions about jobs, and cancellations. Any controller serves them. */
 import type { PlatformSettings } from '../settings/platform.js';
 import type { StateStore } from '../state-store/client.js';
 import type { Body } from '../wire/cbor.js';
@@ -117,8 +118,10 @@
   }
 
   async submit(body: Body): Promise<Answer> {
-    const job = readJob(body);
-    if (typeof job === 'string') return { status: 400, body: { error: `missing or invalid: ${job}` } };
+    const submission = readJob(body);
+    if (submission.kind === 'invalid')
+      return { status: 400, body: { error: `missing or invalid: ${submission.field}` } };
+    const { job } = submission;
     const types = this.deps.types();
     if (!types) return { status: 503, body: { error: 'machine types not known yet' }, retryAfterS: 1 };
     const reason = this.impossible(job, types);
--- a/src/jobs/cancellations.ts
+++ b/src/jobs/cancellations.ts
@@ -1,3 +1,7 @@
+/**
+ * What a controller knows of cancelled jobs, and how fresh that knowledge is: it decides whether worker
+ * leases may be renewed.
+ */
 import type { WorkerCommand, WorkerReport } from '../wire/model.js';
 import { DRIFT } from '../runtime.js';
 
--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -1,3 +1,6 @@
+/**
+ * The live jobs as the leader knows them: which tasks are finished, which may be on a machine, which wait.
+ */
 import type { JobSpec } from '../wire/model.js';
 import type { TaskAttempt } from '../workers/task-attempt.js';
 import { CHUNK } from './records.js';
--- a/src/jobs/mirror.ts
+++ b/src/jobs/mirror.ts
@@ -1,3 +1,4 @@
+/** A copy of the live job records, brought up to date by one request for all questions that wait. */
 import type { StateStore } from '../state-store/client.js';
 import { type World, sleep } from '../runtime.js';
 import { LIVE, type LiveRecord, readLive } from './records.js';
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -1,3 +1,7 @@
+/**
+ * Leader election: a key in the state service, attached to a lease, names the leader. Its revision gives the
+ * fencing token.
+ */
 import type { PlatformSettings } from '../settings/platform.js';
 import { DRIFT, type World, sleep } from '../runtime.js';
 import type { StateStore } from '../state-store/client.js';
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,3 +1,4 @@
+/** The program: reads its settings, brings the real clock, sockets and log, and runs one controller. */
 import { readFileSync } from 'node:fs';
 import { performance } from 'node:perf_hooks';
 import { Command } from 'commander';
--- a/src/outgoing.ts
+++ b/src/outgoing.ts
@@ -1,3 +1,7 @@
+/**
+ * The HTTP client of a controller: requests to workers, the state service and the cloud, within the sockets
+ * that it may hold.
+ */
 import { Agent, type ClientRequest, request } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Http, Reply } from './runtime.js';
--- a/src/placement/gang-scheduler.ts
+++ b/src/placement/gang-scheduler.ts
@@ -53,8 +53,8 @@
   mayPreempt: boolean;
 }
 
-interface GangPlan {
-  victims: TaskAttempt[];
+function allowedMachines(job: Job, machines: Machine[]): Machine[] {
+  return machines.filter((machine) => allowedOn(job.spec, machine) && !job.failedOn.has(machine.index));
 }
 
 export class GangScheduler {
@@ -85,13 +85,13 @@
     const tasks = missingTasks(job);
     if (!this.fitsTeamLimit(job, tasks.length, options.unseen)) return 'not-now';
     const attempt = gangAttempt(job) ?? this.deps.nextAttempt();
-    const allowed = options.machines.filter((m) => allowedOn(job.spec, m) && !job.failedOn.has(m.index));
+    const allowed = allowedMachines(job, options.machines);
     for (const group of job.spec.oneZone ? zonesInTurn(job, allowed) : [allowed]) {
       const room = group.reduce((sum, machine) => sum + slots(job, machine), 0);
       if (!options.mayPreempt && room < tasks.length) continue;
-      const plan = this.hold(job, tasks, group, options.context, attempt);
-      if (!plan) continue;
-      for (const victim of plan.victims) this.stopOne(victim, 'preempted');
+      const victims = this.hold(job, tasks, group, options.context, attempt);
+      if (!victims) continue;
+      for (const victim of victims) this.stopOne(victim, 'preempted');
       job.startedAt = this.deps.now();
       return 'placed';
     }
@@ -100,8 +100,7 @@
 
   /** Keeps machines from other jobs until the gang fits on them. */
   reserve(job: Job, machines: Machine[]): void {
-    const allowed = machines.filter((m) => allowedOn(job.spec, m) && !job.failedOn.has(m.index));
-    this.deps.reservations.reserveMachines(job, allowed, this.deps.now());
+    this.deps.reservations.reserveMachines(job, allowedMachines(job, machines), this.deps.now());
   }
 
   private fitsTeamLimit(job: Job, tasks: number, unseen: Resources): boolean {
@@ -111,20 +110,21 @@
     const keepCpus = others * cpus + unseen.cpus;
     const keepGpus = others * gpus + unseen.gpus;
     if (usage.allows(job.spec, keepCpus, keepGpus)) return true;
+    if (!this.isOverdue(job)) return false;
     const arrays = reservations.usedByArrays(team);
-    const inTime = usage.allows(job.spec, keepCpus - arrays.cpus, keepGpus - arrays.gpus);
-    if (this.isOverdue(job) && inTime) reservations.reserveTeamLimit(job, this.deps.now());
+    const fitsInTime = usage.allows(job.spec, keepCpus - arrays.cpus, keepGpus - arrays.gpus);
+    if (fitsInTime) reservations.reserveTeamLimit(job, this.deps.now());
     return false;
   }
 
-  /** Holds all the tasks on machines of the group, or none of them. */
+  /** Holds all the tasks on machines of the group, and returns whom they replace; null if they don't all fit. */
   private hold(
     job: Job,
     tasks: number[],
     group: Machine[],
     context: ChoiceContext,
     attempt: number,
-  ): GangPlan | null {
+  ): TaskAttempt[] | null {
     const now = this.deps.now();
     const candidates = new Candidates(job, group, context);
     const held: TaskAttempt[] = [];
@@ -140,7 +140,7 @@
       held.push(this.deps.table.hold(choice.machine, job.spec.id, job, task, attempt, now));
       candidates.placed(choice.machine);
     }
-    return { victims };
+    return victims;
   }
 
   /**
--- a/src/placement/quota.ts
+++ b/src/placement/quota.ts
@@ -1,3 +1,4 @@
+/** What each team uses, against its guarantee and its limit. */
 import type { Team } from '../settings/platform.js';
 import type { JobSpec } from '../wire/model.js';
 
--- a/src/placement/run-times.ts
+++ b/src/placement/run-times.ts
@@ -1,3 +1,4 @@
+/** Learns run times by class of jobs, and corrects the owners' estimates by them. */
 import { type Histogram, build } from 'hdr-histogram-js';
 
 const MAX_MS = 24 * 3600 * 1000;
--- a/src/settings/money.ts
+++ b/src/settings/money.ts
@@ -1,3 +1,4 @@
+/** Tells from the settings whether rented machines should be few or stand ready. */
 import type { OperatorSettings } from './operator.js';
 import type { PlatformSettings } from './platform.js';
 
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -1,3 +1,6 @@
+/**
+ * Reads the operators' own settings (JSON), checked against `operator.schema.json`, which has the defaults.
+ */
 import { Ajv } from 'ajv';
 import schema from './operator.schema.json' with { type: 'json' };
 
--- a/src/settings/platform.ts
+++ b/src/settings/platform.ts
@@ -1,3 +1,7 @@
+/**
+ * Reads the settings file that the platform hands over (TOML). A missing or invalid field is named in the
+ * error.
+ */
 import { parse } from 'smol-toml';
 
 export interface Team {
--- a/src/state-store/client.ts
+++ b/src/state-store/client.ts
@@ -1,3 +1,7 @@
+/**
+ * The client of the state service: typed results, a timeout for each request, and a budget within the
+ * service's limits.
+ */
 import type { Reply, World } from '../runtime.js';
 import {
   type Change,
--- a/src/wire/cbor.ts
+++ b/src/wire/cbor.ts
@@ -1,3 +1,4 @@
+/** CBOR bodies: encoding, decoding and the integers that don't fit into 32 bits. */
 import { Encoder } from 'cbor-x';
 
 const codec = new Encoder({ useRecords: false, variableMapSize: true, mapsAsObjects: true });
--- a/src/wire/users.ts
+++ b/src/wire/users.ts
@@ -51,9 +51,17 @@
   due_s: orNull(amount),
 };
 
+export type Submission = { kind: 'job'; job: JobSpec } | { kind: 'invalid'; field: string };
+
 /** The job asked for, or the name of the first field that is missing or invalid. */
-export function readJob(body: Body): JobSpec | string {
-  for (const [field, isValid] of Object.entries(SUBMISSION_CHECKS)) if (!isValid(body[field])) return field;
+export function readJob(body: Body): Submission {
+  for (const [field, isValid] of Object.entries(SUBMISSION_CHECKS))
+    if (!isValid(body[field])) return { kind: 'invalid', field };
+  return { kind: 'job', job: jobOf(body) };
+}
+
+/** Of a body whose fields have been checked. */
+function jobOf(body: Body): JobSpec {
   return {
     id: body.id as string,
     cls: body.grist as string,
--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -185,8 +185,9 @@
     this.applyState(m, r, now);
     const seen = new Set<string>();
     for (const task of r.tasks) {
-      seen.add(attemptKey(task.job, task.taskNumber, task.attempt));
-      this.applyTask(m, task, now);
+      const key = attemptKey(task.job, task.taskNumber, task.attempt);
+      seen.add(key);
+      this.applyTask(m, key, task, now);
     }
     for (const [key, attempt] of m.attempts)
       if (!seen.has(key) && !mayStillStart(m, attempt)) this.drop(attempt, now);
@@ -215,8 +216,8 @@
     m.noticeUntil = r.noticeS === null ? null : now + r.noticeS * 1000;
   }
 
-  private applyTask(m: Machine, task: TaskReport, now: number): void {
-    let attempt = m.attempts.get(attemptKey(task.job, task.taskNumber, task.attempt));
+  private applyTask(m: Machine, key: string, task: TaskReport, now: number): void {
+    let attempt = m.attempts.get(key);
     if (!attempt) {
       const job = this.findJob(task.job) ?? null;
       attempt = this.hold(m, task.job, job, task.taskNumber, task.attempt, now);
--- a/test/api.test.ts
+++ b/test/api.test.ts
@@ -156,5 +156,5 @@
 
 test('a report that is not one changes nothing', () => {
   assert.equal(readReport({ stone: 'i-1' }), null);
-  assert.equal(typeof readJob({}), 'string');
+  assert.deepEqual(readJob({}), { kind: 'invalid', field: 'id' });
 });
