Package rollout: feature levels of a cluster whose controllers are upgraded one by one

Need: old and new controllers share stored state during an upgrade; until now docs/upgrade.md argued by hand, version by version, that both read each other's records.

Change: an npm workspace package with the stored cluster level as an explicit state machine, registration and announcements of processes under a durable incarnation, the leader's decisions as a pure function, and what operators may do.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 import ts from 'typescript-eslint';
 
 export default defineConfig(
-  { ignores: ['target/**', 'node_modules/**', 'journal/**'] },
+  { ignores: ['**/target/**', 'node_modules/**', 'journal/**'] },
   js.configs.recommended,
   ts.configs.strictTypeChecked,
   {
@@ -26,11 +26,11 @@
     },
   },
   {
-    files: ['src/**'],
+    files: ['src/**', 'packages/*/src/**'],
     rules: { complexity: ['error', 16] },
   },
   {
-    files: ['test/**'],
+    files: ['test/**', 'packages/*/test/**'],
     rules: {
       // A value that is missing fails the test where it is used.
       '@typescript-eslint/no-non-null-assertion': 'off',
--- /dev/null
+++ b/packages/rollout/src/cluster-level.ts
@@ -0,0 +1,137 @@
+/** The state machine of the stored cluster level: `advance` is the only place where it changes. */
+import { BASE_LEVEL, type Feature } from './levels.js';
+import type { Builds, ClusterLevel, Held, StartedWith } from './records.js';
+
+/** Something that happened, by the controller or operator named in `by`, at a time of day. */
+export type LevelEvent = { by: string; atMs: number } & (
+  | { type: 'propose'; startedWith: StartedWith }
+  | { type: 'acknowledged' }
+  | { type: 'abort'; reason: string; builds: Builds }
+  | { type: 'aborted' }
+  | { type: 'lower'; target: number; reason: string }
+  | { type: 'converted'; builds: Builds }
+  | { type: 'keep'; reason: string }
+  | { type: 'release' }
+);
+
+export type Advance = { kind: 'changed'; level: ClusterLevel } | { kind: 'refused'; reason: string };
+
+/** The level after the event, or why the event does not fit its state. */
+export function advance(level: ClusterLevel, event: LevelEvent): Advance {
+  const step = stepFor(level, event);
+  if (step.kind === 'refused') return step;
+  const { by, atMs } = event;
+  const stamp = { change: level.change + 1, changedBy: by, sinceMs: atMs };
+  return { kind: 'changed', level: { ...level, reason: null, ...step.fields, ...stamp } };
+}
+
+/** What an event changes. */
+type Step = { kind: 'fields'; fields: Partial<ClusterLevel> } | { kind: 'refused'; reason: string };
+
+function stepFor(level: ClusterLevel, event: LevelEvent): Step {
+  switch (event.type) {
+    case 'propose':
+      return propose(level, event.startedWith);
+    case 'acknowledged':
+      return acknowledged(level);
+    case 'abort':
+      return abort(level, event.reason, event.builds);
+    case 'aborted':
+      if (level.state !== 'aborting') return refused(`nothing is being aborted: the level is ${level.state}`);
+      return fields({ ...settled(level.active), reason: level.reason });
+    case 'lower':
+      return lower(level, event.target, event.reason);
+    case 'converted':
+      return converted(level, event.builds);
+    case 'keep':
+      if (level.state !== 'lowering') return refused(NOT_LOWERING);
+      return fields({ ...settled(level.active), reason: event.reason });
+    case 'release':
+      if (level.state !== 'stable' || level.held === null) return refused('nothing is held');
+      return fields({ held: null });
+  }
+}
+
+function propose(level: ClusterLevel, startedWith: StartedWith): Step {
+  if (level.state !== 'stable') return refused(underWay(level));
+  return fields({ state: 'preparing', target: level.active + 1, startedWith, held: null });
+}
+
+function acknowledged({ state, active }: ClusterLevel): Step {
+  if (state === 'preparing') return fields({ state: 'activating' });
+  if (state === 'activating') return fields({ ...settled(active + 1), held: null });
+  return refused(notRaising(state));
+}
+
+function abort(level: ClusterLevel, reason: string, announced: Builds): Step {
+  const { state, active, startedWith } = level;
+  if (state !== 'preparing' && state !== 'activating') return refused(notRaising(state));
+  const held = { target: active + 1, builds: lastKnown(startedWith, announced), reason };
+  return fields({ state: 'aborting', reason, held });
+}
+
+function lower(level: ClusterLevel, target: number, reason: string): Step {
+  const { state, active } = level;
+  if (state !== 'stable') return refused(underWay(level));
+  if (target < BASE_LEVEL || target >= active)
+    return refused(`the level is ${active}: it can't be lowered to ${target}`);
+  return fields({ state: 'lowering', target, reason });
+}
+
+function converted({ state, target, reason }: ClusterLevel, builds: Builds): Step {
+  if (state !== 'lowering' || target === null) return refused(NOT_LOWERING);
+  return fields({ ...settled(target), reason, held: heldAfterLowering(target, builds) });
+}
+
+const NOT_LOWERING = 'nothing is being lowered';
+
+function notRaising(state: ClusterLevel['state']): string {
+  return `nothing is being raised: the level is ${state}`;
+}
+
+function fields(changed: Partial<ClusterLevel>): Step {
+  return { kind: 'fields', fields: changed };
+}
+
+function refused(reason: string): Step {
+  return { kind: 'refused', reason };
+}
+
+/** Of controllers that are away at the moment, the builds that the change was begun with. */
+function lastKnown(startedWith: StartedWith, announced: Builds): Builds {
+  const builds: Builds = {};
+  for (const [controller, start] of Object.entries(startedWith)) builds[controller] = start.build;
+  return { ...builds, ...announced };
+}
+
+function settled(active: number): Pick<ClusterLevel, 'state' | 'active' | 'target' | 'startedWith'> {
+  return { state: 'stable', active, target: null, startedWith: {} };
+}
+
+function underWay(level: ClusterLevel): string {
+  return `a change is under way: ${level.state} ${level.active} -> ${level.target ?? level.active}`;
+}
+
+/** Otherwise the automatic mode would raise the level again at once. */
+function heldAfterLowering(target: number, builds: Builds): Held {
+  return { target: target + 1, builds, reason: 'lowered by an operator' };
+}
+
+/**
+ * How a feature stands at a controller that has taken in this level.
+ *
+ * - `off`: neither written nor expected.
+ * - `tolerated`: not written, but anyone else may write it at any moment.
+ * - `on`: written.
+ *
+ * No two serving controllers are ever two steps apart: a step is taken only once all have confirmed the one before.
+ */
+export type FeatureMode = 'off' | 'tolerated' | 'on';
+
+export function modeOf(feature: Feature, level: ClusterLevel): FeatureMode {
+  const { state, active, target } = level;
+  if (state === 'lowering' && target !== null && feature.level > target)
+    return feature.level <= active ? 'tolerated' : 'off';
+  if (feature.level <= active) return 'on';
+  return state === 'activating' && feature.level === target ? 'tolerated' : 'off';
+}
--- /dev/null
+++ b/packages/rollout/src/coordinator.ts
@@ -0,0 +1,149 @@
+/** Drives the cluster level while this controller leads: reads what is stored, decides, writes under guards. */
+import { advance } from './cluster-level.js';
+import { type Conversion, type Decision, decide } from './decide.js';
+import type { FeatureRegistry } from './levels.js';
+import { type ClusterLevel, LEVEL_KEY, PREFIX } from './records.js';
+import type { RolloutSettings } from './settings.js';
+import { type Environment, type Guard, type StateAccess, sleep } from './store.js';
+import { type ClusterView, announcementGuards, obstacleToRaise, readView } from './view.js';
+
+export interface CoordinatorDependencies {
+  environment: Environment;
+  store: StateAccess;
+  /** This controller. */
+  self: string;
+  /** All controllers that the settings name, this one included. */
+  controllers: readonly string[];
+  registry: FeatureRegistry;
+  settings: RolloutSettings;
+  /** The level as this controller has taken it in; null while it is not known. */
+  knownLevel(): ClusterLevel | null;
+  /** Entitled to act at this very moment. */
+  leads(): boolean;
+  /** The claim still stands, though it may be paused. */
+  active(): boolean;
+  /** A write that arrives after the claim has gone changes nothing. */
+  leaderGuard(): Guard;
+  /** The process of each other controller, as last heard from itself. */
+  processes(): ReadonlyMap<string, string>;
+  /** How far records above `target` have been converted back; asked while the level is lowered. */
+  conversion(target: number): Conversion;
+}
+
+/** While nothing is under way. */
+const IDLE_MS = 5000;
+/** During a change, for which every controller waits. */
+const BUSY_MS = 500;
+
+export class RolloutCoordinator {
+  /** Since when, by our steady clock, the present processes have all been able to raise the level. */
+  private able: { processes: string; since: number } | null = null;
+  private lastWait = '';
+  private readonly logged = new Set<string>();
+
+  constructor(private readonly deps: CoordinatorDependencies) {}
+
+  async run(): Promise<void> {
+    while (this.deps.active()) {
+      await sleep(this.deps.environment, this.isAtRest() ? IDLE_MS : BUSY_MS);
+      if (this.deps.active() && this.deps.leads() && this.hasWork()) await this.step();
+    }
+  }
+
+  private isAtRest(): boolean {
+    return this.deps.knownLevel()?.state === 'stable';
+  }
+
+  /** A stable level is looked at only where it may be raised by itself. */
+  private hasWork(): boolean {
+    const level = this.deps.knownLevel();
+    if (!level) return false;
+    return level.state !== 'stable' || this.deps.settings.mode === 'automatic';
+  }
+
+  /** One look at the stored records, and at most one change. */
+  async step(): Promise<void> {
+    const { store, controllers } = this.deps;
+    const read = await store.scan(PREFIX);
+    if (!read || !this.deps.leads()) return;
+    const result = readView(read.pairs, controllers, this.deps.processes());
+    if (result.kind === 'invalid') {
+      this.logOnce(result.reason, { reason: result.reason }, 'unreadable cluster level');
+      return;
+    }
+    const { view } = result;
+    for (const { key, version, reason } of view.ignored)
+      this.logOnce(`${key}@${version}`, { key, reason }, 'announcement ignored');
+    const decision = this.decide(view);
+    if (decision.kind === 'wait') this.noteWait(view.level, decision.reason);
+    else await this.apply(view, decision);
+  }
+
+  private decide(view: ClusterView): Decision {
+    const { environment, registry, settings, self } = this.deps;
+    const { level } = view;
+    return decide({
+      view,
+      registry,
+      settings,
+      by: self,
+      wallMs: environment.wallMs(),
+      ableForMs: this.ableForMs(view),
+      conversion:
+        level.state === 'lowering' && level.target !== null
+          ? this.deps.conversion(level.target)
+          : { kind: 'done' },
+    });
+  }
+
+  private ableForMs(view: ClusterView): number {
+    if (view.level.state !== 'stable' || obstacleToRaise(view, view.level.active + 1) !== null) {
+      this.able = null;
+      return 0;
+    }
+    const now = this.deps.environment.clock.now();
+    const processes = [...view.controllers]
+      .map(([name, state]) => (state.kind === 'announced' ? `${name}=${state.announcement.process}` : name))
+      .join(' ');
+    if (this.able?.processes !== processes) this.able = { processes, since: now };
+    return now - this.able.since;
+  }
+
+  private async apply(view: ClusterView, decision: Extract<Decision, { kind: 'advance' }>): Promise<void> {
+    const { environment, store } = this.deps;
+    const next = advance(view.level, decision.event);
+    if (next.kind === 'refused') {
+      environment.log.error({ event: decision.event.type, reason: next.reason }, 'cluster level');
+      return;
+    }
+    const guards = [this.deps.leaderGuard(), { key: LEVEL_KEY, version: view.levelVersion }];
+    if (decision.restsOnAll) guards.push(...announcementGuards(view));
+    const result = await store.txn(guards, [{ put: LEVEL_KEY, value: next.level }]);
+    if (result.kind === 'applied') logChange(environment, view.level, next.level);
+  }
+
+  private noteWait(level: ClusterLevel, reason: string): void {
+    const line = `${level.state} ${reason}`;
+    if (line === this.lastWait) return;
+    this.lastWait = line;
+    this.deps.environment.log.info({ state: level.state, active: level.active, reason }, 'rollout waits');
+  }
+
+  private logOnce(subject: string, fields: object, text: string): void {
+    if (this.logged.has(subject)) return;
+    this.logged.add(subject);
+    this.deps.environment.log.info(fields, text);
+  }
+}
+
+export function logChange(
+  environment: Pick<Environment, 'log'>,
+  before: ClusterLevel,
+  after: ClusterLevel,
+): void {
+  const { state, active, target, reason, changedBy } = after;
+  environment.log.info(
+    { from: before.state, to: state, active, target, reason, by: changedBy },
+    'cluster level',
+  );
+}
--- /dev/null
+++ b/packages/rollout/src/store.ts
@@ -0,0 +1,70 @@
+/**
+ * What the rollout needs of the state service: linearizable reads, guarded atomic writes, leases and watches.
+ * The caller's client is passed in; this package opens no connection of its own.
+ */
+
+/** The transaction is applied only if the key has this version; 0: the key does not exist. */
+export interface Guard {
+  key: string;
+  version: number;
+}
+
+/** A key put under a lease is removed with it. */
+export type Change = { put: string; value: unknown; lease?: number } | { remove: string };
+
+export interface Pair {
+  key: string;
+  value: unknown;
+  version: number;
+}
+
+/** `refused`: not executed. */
+export type ReadResult =
+  { kind: 'found'; pair: Pair } | { kind: 'absent'; revision: number } | { kind: 'refused' };
+
+/** `unknown`: no answer came, so the transaction may have been applied, or may still be. */
+export type TransactionResult =
+  | { kind: 'applied'; revision: number }
+  | { kind: 'conflict'; failed: string[] }
+  | { kind: 'invalid' }
+  | { kind: 'refused' }
+  | { kind: 'unknown' };
+
+export interface WatchEvent {
+  key: string;
+  value: unknown;
+  version: number;
+  gone: boolean;
+}
+
+export type WatchResult =
+  { kind: 'news'; revision: number; news: WatchEvent[] } | { kind: 'too-old' } | { kind: 'refused' };
+
+/** The state service, as far as the rollout uses it. */
+export interface StateAccess {
+  get(key: string): Promise<ReadResult>;
+  scan(prefix: string): Promise<{ pairs: Pair[]; revision: number } | null>;
+  txn(guards: Guard[], changes: Change[]): Promise<TransactionResult>;
+  openLease(ttlMs: number): Promise<number | null>;
+  renewLease(lease: number, ttlMs: number, timeoutMs: number): Promise<'kept' | 'ended' | 'unknown'>;
+  endLease(lease: number): Promise<boolean>;
+  watch(prefix: string, after: number, waitMs: number): Promise<WatchResult>;
+}
+
+/** Time, randomness and log lines come from the caller, so that tests can run whole clusters in virtual time. */
+export interface Environment {
+  clock: {
+    /** Steady milliseconds. */
+    now(): number;
+    after(ms: number, callback: () => void): () => void;
+  };
+  /** Time of day in milliseconds. Only waiting times rest on it, no safety property. */
+  wallMs(): number;
+  /** Uniform in [0, 1). */
+  random(): number;
+  log: { info(fields: object, text: string): void; error(fields: object, text: string): void };
+}
+
+export function sleep(environment: Environment, ms: number): Promise<void> {
+  return new Promise((done) => environment.clock.after(ms, done));
+}
--- /dev/null
+++ b/packages/rollout/src/view.ts
@@ -0,0 +1,164 @@
+/** What the stored records tell of the cluster: its level, and of each controller whether it has announced itself. */
+import { type Build, canRaiseTo, canRead, describeBuild } from './levels.js';
+import {
+  type Announcement,
+  type Builds,
+  type ClusterLevel,
+  INITIAL_LEVEL,
+  LEVEL_KEY,
+  type StartedWith,
+  announcementKey,
+  incarnationKey,
+  readAnnouncement,
+  readClusterLevel,
+  readIncarnation,
+} from './records.js';
+import type { Guard, Pair } from './store.js';
+
+export type ControllerView =
+  | { kind: 'announced'; announcement: Announcement; version: number }
+  /** Nothing can be inferred from silence: whoever has not announced might be any build. */
+  | { kind: 'missing'; reason: string };
+
+/** A record that was ignored, and why. */
+export interface IgnoredRecord {
+  key: string;
+  version: number;
+  reason: string;
+}
+
+export interface ClusterView {
+  level: ClusterLevel;
+  /** 0: no level is stored yet. */
+  levelVersion: number;
+  controllers: Map<string, ControllerView>;
+  ignored: IgnoredRecord[];
+}
+
+export type ViewResult = { kind: 'valid'; view: ClusterView } | { kind: 'invalid'; reason: string };
+
+/**
+ * `controllers` are all that the settings name. `processes` has the process of a controller as last heard from
+ * itself, where it was heard: one that was replaced a moment ago may not have stored its announcement yet, or may be
+ * a build that never does.
+ */
+export function readView(
+  pairs: readonly Pair[],
+  controllers: readonly string[],
+  processes: ReadonlyMap<string, string> = new Map(),
+): ViewResult {
+  const byKey = new Map(pairs.map((pair) => [pair.key, pair]));
+  const levelPair = byKey.get(LEVEL_KEY);
+  const level = levelPair
+    ? readClusterLevel(levelPair.value)
+    : { kind: 'valid' as const, value: INITIAL_LEVEL };
+  if (level.kind === 'invalid') return { kind: 'invalid', reason: `${LEVEL_KEY}: ${level.reason}` };
+  const ignored: IgnoredRecord[] = [];
+  const views = controllers.map((controller) => {
+    const announcement = byKey.get(announcementKey(controller));
+    const view = readController(controller, announcement, byKey.get(incarnationKey(controller)));
+    if (announcement && view.kind === 'missing')
+      ignored.push({ key: announcement.key, version: announcement.version, reason: view.reason });
+    return [controller, withProcess(view, processes.get(controller))] as const;
+  });
+  return {
+    kind: 'valid',
+    view: {
+      level: level.value,
+      levelVersion: levelPair?.version ?? 0,
+      controllers: new Map(views),
+      ignored,
+    },
+  };
+}
+
+function readController(
+  controller: string,
+  announcement: Pair | undefined,
+  incarnation: Pair | undefined,
+): ControllerView {
+  if (!announcement) return { kind: 'missing', reason: 'has not announced itself' };
+  const read = readAnnouncement(announcement.value);
+  if (read.kind === 'invalid')
+    return { kind: 'missing', reason: `its announcement is malformed (${read.reason})` };
+  if (read.value.controller !== controller)
+    return { kind: 'missing', reason: `its announcement names ${read.value.controller}` };
+  const present = incarnation ? readIncarnation(incarnation.value) : null;
+  if (present?.kind !== 'valid') return { kind: 'missing', reason: 'its incarnation is not stored' };
+  if (present.value.incarnation !== read.value.incarnation || present.value.process !== read.value.process)
+    return { kind: 'missing', reason: 'its announcement is from an earlier incarnation' };
+  return { kind: 'announced', announcement: read.value, version: announcement.version };
+}
+
+function withProcess(view: ControllerView, heard: string | undefined): ControllerView {
+  if (view.kind === 'missing' || heard === undefined || heard === view.announcement.process) return view;
+  return { kind: 'missing', reason: 'it runs as another process than the one that announced itself' };
+}
+
+/** The first reason why the level can't be raised to `target` with these controllers, or null. */
+export function obstacleToRaise(view: ClusterView, target: number): string | null {
+  for (const [controller, state] of view.controllers) {
+    if (state.kind === 'missing') return `${controller} ${state.reason}`;
+    const { build } = state.announcement;
+    if (!canRaiseTo(build, target)) return `${controller} runs ${describeBuild(build)}`;
+  }
+  return null;
+}
+
+/** The first controller that is known to run a build which can't follow to `target`, or null. */
+export function incapable(
+  view: ClusterView,
+  target: number,
+  able: typeof canRaiseTo | typeof canRead,
+): string | null {
+  for (const [controller, state] of view.controllers)
+    if (state.kind === 'announced' && !able(state.announcement.build, target))
+      return `${controller} runs ${describeBuild(state.announcement.build)}`;
+  return null;
+}
+
+/** The first controller that has not taken in the latest change, or null. */
+export function unacknowledged(view: ClusterView): string | null {
+  for (const [controller, state] of view.controllers) {
+    if (state.kind === 'missing') return `${controller} ${state.reason}`;
+    if (state.announcement.acknowledged !== view.level.change) return `${controller} has not confirmed yet`;
+  }
+  return null;
+}
+
+/** The builds of the controllers that have announced themselves. */
+export function buildsOf(view: ClusterView): Builds {
+  const builds: Builds = {};
+  for (const [controller, state] of view.controllers)
+    if (state.kind === 'announced') builds[controller] = textOf(state.announcement.build);
+  return builds;
+}
+
+function textOf({ version, reads, writes }: Build): string {
+  return `${version} (reads ${reads.from} to ${reads.to}, writes ${writes})`;
+}
+
+/** Whether any controller announces another build than then; one that is away has not changed. */
+export function buildsDiffer(then: Builds, view: ClusterView): boolean {
+  return Object.entries(buildsOf(view)).some(([controller, build]) => then[controller] !== build);
+}
+
+/** A change that rests on every announcement is void once any of them changes. */
+export function announcementGuards(view: ClusterView): Guard[] {
+  return [...view.controllers].map(([controller, state]) => ({
+    key: announcementKey(controller),
+    version: state.kind === 'announced' ? state.version : 0,
+  }));
+}
+
+/** The processes that a change of level begins with. */
+export function startOf(view: ClusterView): StartedWith {
+  const started: StartedWith = {};
+  for (const [controller, state] of view.controllers)
+    if (state.kind === 'announced')
+      started[controller] = {
+        incarnation: state.announcement.incarnation,
+        build: textOf(state.announcement.build),
+      };
+  return started;
+}
--- /dev/null
+++ b/packages/rollout/test/decide.test.ts
@@ -0,0 +1,213 @@
+/** What the leader does next, and whom it counts as present. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { type LevelEvent, advance } from '../src/cluster-level.js';
+import { type Situation, decide, obstacleToPropose } from '../src/decide.js';
+import { type Build, type Feature, FeatureRegistry, FeatureRegistryError } from '../src/levels.js';
+import {
+  type Announcement,
+  type ClusterLevel,
+  INITIAL_LEVEL,
+  LEVEL_KEY,
+  announcementKey,
+  incarnationKey,
+} from '../src/records.js';
+import type { RolloutSettings } from '../src/settings.js';
+import type { Pair } from '../src/store.js';
+import { type ClusterView, readView } from '../src/view.js';
+
+const NAMES = ['n0', 'n1', 'n2'];
+const SETTINGS: RolloutSettings = {
+  mode: 'automatic',
+  soak_s: 10,
+  stall_s: 60,
+  restarts: 3,
+  announcement_lease_s: 15,
+  ungated_builds_retired: false,
+};
+
+function feature(level: number, over: Partial<Feature> = {}): Feature {
+  const covers = { records: [], messages: [], decisions: [] };
+  return { name: `f${level}`, level, covers, withoutGate: 'harmless', reversible: true, ...over };
+}
+
+const REGISTRY = new FeatureRegistry([feature(2), feature(3)]);
+
+const build = (to: number, from = 1): Build => ({ version: `v${to}`, reads: { from, to }, writes: to });
+
+/** Records as they are stored, with one of them changed. */
+class Records {
+  private readonly values = new Map<string, unknown>();
+  level: ClusterLevel = INITIAL_LEVEL;
+
+  constructor(builds: Build[]) {
+    NAMES.forEach((name, i) => {
+      this.announce(name, builds[i]);
+    });
+  }
+
+  announce(name: string, its: Build, over: Partial<Announcement> & object = {}): this {
+    const announcement = {
+      controller: name,
+      incarnation: 1,
+      process: `${name}-p1`,
+      build: its,
+      acknowledged: this.level.change,
+      ...over,
+    };
+    const { incarnation, process } = announcement;
+    this.values.set(announcementKey(name), announcement);
+    this.values.set(incarnationKey(name), { incarnation, process });
+    return this;
+  }
+
+  put(key: string, value: unknown): this {
+    this.values.set(key, value);
+    return this;
+  }
+
+  remove(key: string): this {
+    this.values.delete(key);
+    return this;
+  }
+
+  view(processes = new Map<string, string>()): ClusterView {
+    const pairs: Pair[] = [...this.values].map(([key, value], i) => ({ key, value, version: i + 1 }));
+    pairs.push({ key: LEVEL_KEY, value: this.level, version: 99 });
+    const result = readView(pairs, NAMES, processes);
+    assert.ok(result.kind === 'valid');
+    return result.view;
+  }
+
+  situation(over: Partial<Situation> = {}): Situation {
+    return {
+      view: this.view(),
+      registry: REGISTRY,
+      settings: SETTINGS,
+      by: 'n0',
+      wallMs: 1000,
+      ableForMs: 0,
+      conversion: { kind: 'done' },
+      ...over,
+    };
+  }
+
+  /** Does what is decided, after which everyone confirms. */
+  follow(its: Build[], over: Partial<Situation> = {}): LevelEvent['type'] | 'wait' {
+    const decision = decide(this.situation({ ableForMs: 20_000, ...over }));
+    if (decision.kind === 'wait') return 'wait';
+    const next = advance(this.level, decision.event);
+    assert.ok(next.kind === 'changed');
+    this.level = next.level;
+    NAMES.forEach((name, i) => this.announce(name, its[i]));
+    return decision.event.type;
+  }
+}
+
+const all = (its: Build): Build[] => NAMES.map(() => its);
+
+test('who has not announced itself in its present incarnation is missing, and why', () => {
+  const reason = (records: Records, processes?: Map<string, string>): string => {
+    const view = records.view(processes).controllers.get('n1');
+    return view?.kind === 'missing' ? view.reason : 'announced';
+  };
+  const records = (): Records => new Records(all(build(2)));
+  assert.equal(reason(records()), 'announced');
+  assert.match(reason(records().remove(announcementKey('n1'))), /not announced/);
+  assert.match(reason(records().remove(incarnationKey('n1'))), /incarnation is not stored/);
+  const newer = { incarnation: 2, process: 'n1-p2' };
+  assert.match(reason(records().put(incarnationKey('n1'), newer)), /earlier incarnation/);
+  assert.match(reason(records().announce('n1', build(2), { controller: 'n0' })), /names n0/);
+  const backwards = { version: 'x', reads: { from: 3, to: 2 }, writes: 2 };
+  assert.match(reason(records().announce('n1', backwards)), /malformed/);
+  assert.match(reason(records().announce('n1', { ...build(2), writes: 7 })), /malformed/);
+  // A build without levels tells its process, too, and never announces itself.
+  assert.match(reason(records(), new Map([['n1', 'n1-p2']])), /another process/);
+  const more = { later: 1, build: { ...build(2), colour: 'red' } };
+  assert.equal(reason(records().announce('n1', build(2), more)), 'announced');
+});
+
+test('levels are raised one at a time, also where builds skip one', () => {
+  const its = all(build(3));
+  const records = new Records(its);
+  const events = Array.from({ length: 7 }, () => records.follow(its));
+  const raise = ['propose', 'acknowledged', 'acknowledged'];
+  assert.deepEqual(events, [...raise, ...raise, 'wait']);
+  assert.equal(records.level.active, 3);
+});
+
+test('a second rollout that begins amid the first does not disturb it', () => {
+  const its = all(build(2));
+  const records = new Records(its);
+  assert.equal(records.follow(its), 'propose');
+  its[2] = build(3);
+  assert.equal(records.follow(its), 'acknowledged');
+  assert.equal(records.follow(its), 'acknowledged');
+  assert.equal(records.level.active, 2);
+  assert.equal(records.follow(its), 'wait');
+});
+
+test('soaking, a hold and its release', () => {
+  const records = new Records(all(build(2)));
+  assert.equal(decide(records.situation({ ableForMs: 9000 })).kind, 'wait');
+  const manual = { ...SETTINGS, mode: 'manual' as const };
+  assert.equal(decide(records.situation({ ableForMs: 1e6, settings: manual })).kind, 'wait');
+  const builds = { n0: 'v2 (reads 1 to 2, writes 2)' };
+  records.level = {
+    ...INITIAL_LEVEL,
+    held: { target: 2, builds: { ...builds, n1: builds.n0, n2: builds.n0 }, reason: 'r' },
+  };
+  assert.equal(decide(records.situation({ ableForMs: 1e6 })).kind, 'wait');
+  // One that is away has not changed.
+  records.remove(announcementKey('n2'));
+  assert.equal(decide(records.situation({ ableForMs: 1e6 })).kind, 'wait');
+  records.announce('n2', build(3));
+  const released = decide(records.situation({ ableForMs: 1e6 }));
+  assert.ok(released.kind === 'advance' && released.event.type === 'release');
+});
+
+test('a feature that builds without levels would misread waits until none can return', () => {
+  const registry = new FeatureRegistry([feature(2, { withoutGate: 'unsafe' })]);
+  const view = new Records(all(build(2))).view();
+  assert.match(obstacleToPropose(view, registry, SETTINGS) ?? '', /misread/);
+  assert.equal(obstacleToPropose(view, registry, { ...SETTINGS, ungated_builds_retired: true }), null);
+  assert.match(obstacleToPropose(view, new FeatureRegistry([]), SETTINGS) ?? '', /no feature/);
+});
+
+test('lowering is kept back where a controller could not read, or records can not be converted', () => {
+  const its = all(build(2));
+  const records = new Records(its);
+  const lowering: ClusterLevel = {
+    ...INITIAL_LEVEL,
+    state: 'lowering',
+    active: 2,
+    target: 1,
+    change: 4,
+    sinceMs: 900,
+  };
+  records.level = lowering;
+  for (const name of NAMES) records.announce(name, build(2));
+  const keepReason = (over: Partial<Situation>): string => {
+    const decision = decide(records.situation(over));
+    return decision.kind === 'advance' && decision.event.type === 'keep' ? decision.event.reason : '';
+  };
+  assert.equal(keepReason({ conversion: { kind: 'refused', reason: 'too large' } }), 'too large');
+  assert.equal(decide(records.situation({ conversion: { kind: 'running', remaining: 3 } })).kind, 'wait');
+  records.announce('n1', build(3, 2));
+  assert.match(keepReason({ view: records.view() }), /n1 runs build v3/);
+  records.remove(announcementKey('n1'));
+  assert.equal(decide(records.situation({ wallMs: 50_000 })).kind, 'wait');
+  assert.match(keepReason({ wallMs: 70_000 }), /no progress for 60 s: n1/);
+});
+
+test('features are registered once, above the base level, and asked for by their names', () => {
+  assert.throws(() => new FeatureRegistry([feature(2), feature(2)]), FeatureRegistryError);
+  assert.throws(() => new FeatureRegistry([feature(1)]), FeatureRegistryError);
+  assert.throws(() => REGISTRY.get('nothing'), FeatureRegistryError);
+  const oneWay = new FeatureRegistry([feature(2), feature(3, { reversible: false })]);
+  assert.deepEqual(
+    oneWay.irreversibleBetween(1, 3).map((each) => each.name),
+    ['f3'],
+  );
+  assert.deepEqual(oneWay.irreversibleBetween(1, 2), []);
+});
