--- a/src/http-server.ts
+++ b/src/http-server.ts
@@ -66,7 +66,9 @@
       }, next);
     };
   app.get(userPaths.health, (_req, res) => {
-    res.status(node.healthy() ? 200 : 503).end();
+    const reason = node.unhealthyBecause();
+    res.status(reason === null ? 200 : 503).type('text/plain');
+    res.end(reason ?? undefined);
   });
   app.post(
     userPaths.jobs,
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -23,6 +23,8 @@
   settings: Pick<PlatformSettings, 'teams'>;
   store: StateStore;
   mirror: LiveMirror;
+  /** Can this process read what is stored? If not, any answer might be wrong. */
+  mayServe(): boolean;
   /** Null while the catalog is not known. */
   types(): MachineType[] | null;
   /** For display: what the leader last told of a job. */
@@ -39,6 +41,11 @@
   | { kind: 'refused' };
 
 const ENDED_CACHE = 5000;
+const EXCLUDED: Answer = {
+  status: 503,
+  body: { error: 'this node cannot read the stored state' },
+  retryAfterS: 1,
+};
 const LATER: Answer = { status: 503, body: { error: 'state service not reached' }, retryAfterS: 1 };
 
 /** Users' requests. Any node serves them: each answer rests on a read as fresh as the question, or a guarded write. */
@@ -118,6 +125,7 @@
   }
 
   async submit(body: Body): Promise<Answer> {
+    if (!this.deps.mayServe()) return EXCLUDED;
     const submission = readJob(body);
     if (submission.kind === 'invalid')
       return { status: 400, body: { error: `missing or invalid: ${submission.field}` } };
@@ -152,11 +160,13 @@
   }
 
   async poll(id: string): Promise<Answer> {
+    if (!this.deps.mayServe()) return EXCLUDED;
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
     return this.describe(id, await this.look(id));
   }
 
   async cancel(id: string): Promise<Answer> {
+    if (!this.deps.mayServe()) return EXCLUDED;
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
     for (let tries = 0; tries < 4; tries++) {
       const k = await this.look(id);
--- a/src/jobs/completion-writer.ts
+++ b/src/jobs/completion-writer.ts
@@ -1,10 +1,14 @@
 /** Writes finished tasks and the ends of jobs to the state service. */
+import type { Conversion } from '@millring/rollout';
 import type { World } from '../runtime.js';
 import { Bucket } from '../state-store/budget.js';
 import type { StateStore, TxnResult } from '../state-store/client.js';
 import type { Change, Guard } from '../wire/state.js';
 import type { Job, JobTable } from './job-table.js';
-import { endedKey, finishedKey, liveKey, packFinished } from './records.js';
+import { type FinishedRecord, isSegment } from './finished-records.js';
+import { CompletionBatch } from './completion-batch.js';
+import { ProgressRecords } from './progress-records.js';
+import { endedKey, finishedKey, liveKey } from './records.js';
 
 export interface CompletionWriterDeps {
   world: World;
@@ -12,8 +16,11 @@
   jobs: JobTable;
   txnOps: number;
   writeRps: number;
+  valueBytes: number;
   leads(): boolean;
   leaderGuard(): Guard;
+  /** Every write of a segment rests on it, see `finished-records.ts`. Null: none may be written now. */
+  segmentGuard(): Guard | null;
   /** A cancelled job may end once nothing of it can be anywhere. */
   surelyEmpty(job: Job): boolean;
   ended(job: Job): void;
@@ -39,47 +46,14 @@
   invalid: 5000,
 };
 
-/** One transaction: the ends of jobs, progress of others, and records whose job has ended. */
-class Batch {
-  readonly guards: Guard[];
-  readonly changes: Change[] = [];
-  readonly jobs = new Set<Job>();
-  readonly ends: Job[] = [];
-  readonly progress: { job: Job; chunk: number; count: number }[] = [];
-  readonly removed: string[] = [];
-
-  constructor(
-    leaderGuard: Guard,
-    private readonly mostChanges: number,
-    private readonly mostGuards: number,
-  ) {
-    this.guards = [leaderGuard];
-  }
-
-  hasRoom(changes: number): boolean {
-    return this.changes.length + changes <= this.mostChanges && this.guards.length < this.mostGuards - 1;
-  }
-
-  add(changes: Change[]): void {
-    this.changes.push(...changes);
-  }
-
-  /** The transaction rests on the job's record as it was last read. */
-  guardJob(job: Job): void {
-    if (this.jobs.has(job)) return;
-    this.jobs.add(job);
-    this.guards.push({ key: liveKey(job.spec.id), version: job.version });
-  }
-
-  removes(key: string): boolean {
-    return this.changes.some((change) => 'remove' in change && change.remove === key);
-  }
+function isSegmentKey(key: string): boolean {
+  return isSegment(Number(key.slice(key.lastIndexOf('/') + 1)));
 }
 
 /** Makes the leader's knowledge of finished tasks durable: compact, in batches, the ends of jobs first. */
 export class CompletionWriter {
   private busy = false;
-  private readonly written = new Map<number, Set<number>>();
+  private readonly records: ProgressRecords;
   private readonly notBefore = new Map<number, number>();
   private readonly partial: Bucket;
   private readonly leftOvers = new Set<string>();
@@ -88,14 +62,24 @@
 
   constructor(private readonly deps: CompletionWriterDeps) {
     this.most = deps.txnOps;
+    this.records = new ProgressRecords(deps.jobs, deps.valueBytes);
     const perS = Math.max(0.5, deps.writeRps * PARTIAL_SHARE);
     this.partial = new Bucket(perS, Math.max(2, perS), () => deps.world.clock.now());
   }
 
-  noteWritten(job: Job, chunk: number): void {
-    let s = this.written.get(job.index);
-    if (!s) this.written.set(job.index, (s = new Set()));
-    s.add(chunk);
+  noteWritten(job: Job, recordNumber: number): void {
+    this.records.noteWritten(job, recordNumber);
+  }
+
+  /** How many segments are left to replace by records in the older form. */
+  conversion(): Conversion {
+    const conversion = this.records.conversion();
+    const leftOver = [...this.leftOvers].filter(isSegmentKey).length;
+    if (conversion.kind === 'refused' || leftOver === 0) return conversion;
+    return {
+      kind: 'running',
+      remaining: leftOver + (conversion.kind === 'running' ? conversion.remaining : 0),
+    };
   }
 
   /** A record of finished tasks whose job has ended. */
@@ -106,14 +90,18 @@
   tick(): void {
     if (this.busy || !this.deps.leads()) return;
     const now = this.deps.world.clock.now();
-    const batch = new Batch(this.deps.leaderGuard(), this.most, this.deps.txnOps * GUARDS_PER_CHANGE);
+    const batch = new CompletionBatch(
+      this.deps.leaderGuard(),
+      this.most,
+      this.deps.txnOps * GUARDS_PER_CHANGE,
+    );
     this.addEnds(batch, now);
     this.addProgress(batch, now);
     this.addLeftOvers(batch);
     if (batch.changes.length > 0) void this.write(batch);
   }
 
-  private addEnds(batch: Batch, now: number): void {
+  private addEnds(batch: CompletionBatch, now: number): void {
     for (const job of this.deps.jobs.all()) {
       const over = job.cancelled ? this.deps.surelyEmpty(job) : job.complete();
       if (!over || job.ended !== 'no' || this.mustWait(job, now)) continue;
@@ -127,29 +115,55 @@
 
   /** What of a large job doesn't go into one transaction is removed afterwards: with the job ended nobody reads it. */
   private endChanges(job: Job): Change[] {
-    const chunks = [...(this.written.get(job.index) ?? [])].slice(0, Math.max(0, this.most - LEAST_CHANGES));
+    const numbers = [...this.records.numbersOf(job)].slice(0, Math.max(0, this.most - LEAST_CHANGES));
     const value = { state: job.cancelled ? 'cancelled' : 'done', tasks: job.spec.tasks };
     return [
       { remove: liveKey(job.spec.id) },
       { put: endedKey(job.spec.id), value },
-      ...chunks.map((chunk): Change => ({ remove: finishedKey(job.spec.id, chunk) })),
+      ...numbers.map((number): Change => ({ remove: finishedKey(job.spec.id, number) })),
     ];
   }
 
-  private addProgress(batch: Batch, now: number): void {
+  private addProgress(batch: CompletionBatch, now: number): void {
+    const segmentGuard = this.deps.segmentGuard();
     for (const job of this.deps.jobs.all()) {
       if (job.cancelled || job.complete() || this.mustWait(job, now)) continue;
-      for (const [chunk, since] of job.dirty) {
-        if (now - since < PARTIAL_MS || !batch.hasRoom(1) || !this.partial.take()) continue;
-        const value = packFinished(job.finished, chunk);
-        batch.add([{ put: finishedKey(job.spec.id, chunk), value }]);
-        batch.guardJob(job);
-        batch.progress.push({ job, chunk, count: job.finishedCount });
-      }
+      this.records.adapt(job, segmentGuard !== null, now);
+      for (const [chunk, since] of job.dirty)
+        if (now - since >= PARTIAL_MS && !batch.covers(job, chunk)) this.addChunk(batch, job, chunk, now);
+      if (segmentGuard && this.records.usesSegments(job) && batch.jobs.has(job))
+        batch.guardLevel(segmentGuard);
+      this.addReplaced(batch, job, now);
     }
   }
 
-  private addLeftOvers(batch: Batch): void {
+  private addChunk(batch: CompletionBatch, job: Job, chunk: number, now: number): void {
+    // Compressing costs time, so it comes after what may make it useless.
+    if (!batch.hasRoom(1) || !this.partial.take(0, 1)) return;
+    const made = this.records.recordsFor(job, chunk, now);
+    if (!made || !batch.hasRoom(made.records.length)) return;
+    this.partial.force(made.records.length);
+    batch.add(made.records.map((record): Change => this.put(job, record)));
+    batch.guardJob(job);
+    batch.progress.push({ job, chunks: made.chunks, count: job.finishedCount });
+    // Marked before the answer: a record written without an answer must be removed with the job, too.
+    for (const record of made.records) this.records.noteWritten(job, record.number);
+  }
+
+  private put(job: Job, record: FinishedRecord): Change {
+    return { put: finishedKey(job.spec.id, record.number), value: record.value };
+  }
+
+  private addReplaced(batch: CompletionBatch, job: Job, now: number): void {
+    for (const recordNumber of this.records.stale(job, now)) {
+      if (!batch.hasRoom(1) || !this.partial.take()) return;
+      batch.add([{ remove: finishedKey(job.spec.id, recordNumber) }]);
+      batch.guardJob(job);
+      batch.replaced.push({ job, recordNumber });
+    }
+  }
+
+  private addLeftOvers(batch: CompletionBatch): void {
     for (const key of this.leftOvers) {
       if (!batch.hasRoom(1)) return;
       batch.add([{ remove: key }]);
@@ -161,11 +175,9 @@
     return (this.notBefore.get(job.index) ?? 0) > now;
   }
 
-  private async write(batch: Batch): Promise<void> {
+  private async write(batch: CompletionBatch): Promise<void> {
     this.busy = true;
     for (const job of batch.ends) job.ended = 'writing';
-    // Marked before the answer: a record written without an answer must be removed with the job, too.
-    for (const { job, chunk } of batch.progress) this.noteWritten(job, chunk);
     const result = await this.deps.store.txn(batch.guards, batch.changes);
     this.busy = false;
     for (const job of batch.ends) job.ended = result.kind === 'applied' ? 'yes' : 'no';
@@ -173,40 +185,43 @@
     else this.failed(batch, result);
   }
 
-  private applied(batch: Batch): void {
+  private applied(batch: CompletionBatch): void {
     const now = this.deps.world.clock.now();
     // Until here the numbers stay dirty, so that nothing is forgotten by a machine before it is durable.
-    for (const { job, chunk, count } of batch.progress) {
-      if (job.finishedCount === count) job.dirty.delete(chunk);
-      else job.dirty.set(chunk, now);
-    }
+    for (const { job, chunks, count } of batch.progress)
+      for (const chunk of chunks) {
+        if (job.finishedCount === count) job.dirty.delete(chunk);
+        else if (job.dirty.has(chunk)) job.dirty.set(chunk, now);
+      }
+    for (const { job, recordNumber } of batch.replaced) this.records.forgetNumber(job, recordNumber);
     for (const key of batch.removed) this.leftOvers.delete(key);
     for (const job of batch.ends) this.ended(job, batch);
   }
 
-  private ended(job: Job, batch: Batch): void {
-    for (const chunk of this.written.get(job.index) ?? []) {
-      const key = finishedKey(job.spec.id, chunk);
+  private ended(job: Job, batch: CompletionBatch): void {
+    for (const number of this.records.numbersOf(job)) {
+      const key = finishedKey(job.spec.id, number);
       if (!batch.removes(key)) this.leftOvers.add(key);
     }
-    this.written.delete(job.index);
+    this.records.forget(job);
     this.notBefore.delete(job.index);
     this.deps.ended(job);
   }
 
-  private failed(batch: Batch, result: Exclude<TxnResult, { kind: 'applied' }>): void {
+  private failed(batch: CompletionBatch, result: Exclude<TxnResult, { kind: 'applied' }>): void {
     const now = this.deps.world.clock.now();
     if (result.kind === 'invalid') this.shrink(batch);
     // A conflict or a lost answer: the watch tells what became of these jobs; no hurry meanwhile.
-    const conflicting = result.kind === 'conflict' ? new Set(result.failed) : null;
     for (const job of batch.jobs)
-      if (!conflicting || conflicting.has(liveKey(job.spec.id)))
+      if (result.kind !== 'conflict' || batch.concerns(result.failed, job))
         this.notBefore.set(job.index, now + RETRY_MS[result.kind]);
   }
 
   /** Too large, though within the limits that we know: smaller ones from now on. What is as small as can be waits long. */
-  private shrink(batch: Batch): void {
+  private shrink(batch: CompletionBatch): void {
     const { length } = batch.changes;
+    const largest = batch.largestSegment();
+    if (largest > 0) this.records.refusedAt(largest);
     if (length > LEAST_CHANGES) this.most = Math.max(LEAST_CHANGES, length >> 1);
     else for (const key of batch.removed) this.leftOvers.delete(key);
   }
--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -61,9 +61,10 @@
     return this.cancelled ? 0 : this.waiting;
   }
 
-  loadFinished(chunk: number, bits: Uint8Array): void {
+  /** Finished tasks as they were stored, one bit each. */
+  loadFinished(firstTask: number, bits: Uint8Array): void {
     for (let i = 0; i < bits.length * 8; i++) {
-      const taskNumber = chunk * CHUNK + i;
+      const taskNumber = firstTask + i;
       if (taskNumber < this.spec.tasks && (bits[i >> 3] & (1 << (i & 7))) !== 0) this.setFinished(taskNumber);
     }
   }
@@ -82,6 +83,15 @@
     if (!this.dirty.has(chunk)) this.dirty.set(chunk, now);
   }
 
+  /** All that is finished has to be written again. */
+  markAllDirty(now: number): void {
+    const bytesPerChunk = CHUNK / 8;
+    for (let chunk = 0; chunk * CHUNK < this.spec.tasks; chunk++) {
+      const bytes = this.finished.subarray(chunk * bytesPerChunk, (chunk + 1) * bytesPerChunk);
+      if (!this.dirty.has(chunk) && bytes.some((byte) => byte !== 0)) this.dirty.set(chunk, now);
+    }
+  }
+
   /** A gang's tasks complete together: one that is done tells it of all. */
   finishAll(now: number): void {
     for (let taskNumber = 0; taskNumber < this.spec.tasks; taskNumber++) this.finish(taskNumber, now);
--- a/src/jobs/records.ts
+++ b/src/jobs/records.ts
@@ -20,7 +20,7 @@
 
 export const liveKey = (id: string): string => LIVE + id;
 export const endedKey = (id: string): string => ENDED + id;
-export const finishedKey = (id: string, chunk: number): string => `${FINISHED}${id}/${chunk}`;
+export const finishedKey = (id: string, recordNumber: number): string => `${FINISHED}${id}/${recordNumber}`;
 
 export function readLive(v: unknown): LiveRecord | null {
   if (!isMap(v) || !isMap(v.spec) || typeof v.at !== 'number' || !isSpec(v.spec)) return null;
@@ -81,7 +81,3 @@
 export function packFinished(bits: Uint8Array, chunk: number): string {
   return Buffer.from(bits.subarray((chunk * CHUNK) / 8, ((chunk + 1) * CHUNK) / 8)).toString('base64');
 }
-
-export function unpackFinished(text: unknown): Uint8Array {
-  return typeof text === 'string' ? Buffer.from(text, 'base64') : new Uint8Array();
-}
--- a/src/leadership/job-feed.ts
+++ b/src/leadership/job-feed.ts
@@ -1,6 +1,7 @@
 /** Brings the stored jobs into the leader's tables, and follows their changes. */
 import { type World, sleep } from '../runtime.js';
-import { FINISHED, LIVE, unpackFinished } from '../jobs/records.js';
+import { readFinishedRecord } from '../jobs/finished-records.js';
+import { FINISHED, LIVE } from '../jobs/records.js';
 import type { Job, JobTable } from '../jobs/job-table.js';
 import type { StateStore } from '../state-store/client.js';
 import type { Pair, WatchEvent } from '../wire/state.js';
@@ -33,21 +34,31 @@
   load(
     live: Pair[],
     finished: Pair[],
-    written: (job: Job, chunk: number) => void,
+    written: (job: Job, recordNumber: number) => void,
     leftOver: (key: string) => void,
   ): void {
     for (const pair of live) this.take(pair);
     const liveKeys = new Set(live.map((pair) => pair.key));
     for (const pair of finished) {
-      const [id, chunk] = pair.key.slice(FINISHED.length).split('/');
+      const [id, number] = pair.key.slice(FINISHED.length).split('/');
       const job = this.deps.jobs.get(id);
       if (!job && !liveKeys.has(LIVE + id)) leftOver(pair.key);
       if (!job) continue;
-      written(job, Number(chunk));
-      job.loadFinished(Number(chunk), unpackFinished(pair.value));
+      written(job, Number(number));
+      this.takeFinished(job, Number(number), pair.value);
     }
   }
 
+  private takeFinished(job: Job, recordNumber: number, value: unknown): void {
+    const record = readFinishedRecord(recordNumber, value);
+    if (record.kind === 'readable') {
+      job.loadFinished(record.firstTask, record.bits);
+      return;
+    }
+    const fields = { id: job.spec.id, recordNumber, reason: record.reason };
+    this.deps.world.log.error(fields, 'unreadable record of finished tasks');
+  }
+
   async follow(since: number): Promise<void> {
     const { store, world } = this.deps;
     while (this.deps.active()) {
--- a/src/leadership/leader-term.ts
+++ b/src/leadership/leader-term.ts
@@ -1,4 +1,5 @@
 /** What the leader does, for the time of one claim. A new claim starts with empty tables. */
+import type { Conversion } from '@millring/rollout';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { PlatformSettings } from '../settings/platform.js';
 import { moneyCounts } from '../settings/money.js';
@@ -25,6 +26,7 @@
 import { cutZones, keptUntil } from './zone-contact.js';
 import { Lateness } from './lateness.js';
 import { Takeover } from './takeover.js';
+import { WorkerContact } from './worker-contact.js';
 import { type Claim, TOKEN_SPAN } from './leadership.js';
 
 export interface LeaderTermDeps {
@@ -40,17 +42,15 @@
   isCancelled(id: string): boolean;
   /** Are cancellations known well enough for starting anything? */
   informed(): boolean;
+  /** For records in compressed segments, see `CompletionWriter`. */
+  segmentGuard(): Guard | null;
   handOver(why: string): void;
 }
 
 const TICK_MS = 200;
+/** What is stored is not all read yet. */
+const REBUILDING: Conversion = { kind: 'running', remaining: 1 };
 const REBUILD_RETRY_MS = 200;
-/** With this many machines, no report at all for QUIET_MS means that we are cut off from them. */
-const MANY = 30;
-const QUIET_MS = 3500;
-/** The same with fewer machines. */
-const QUIET_FEW_MS = 4000;
-const QUIET_FEW_REPORTS = 2.5;
 
 /** rebuilding: reading the records. serving: acting. over: the claim has ended, nothing may be done any more. */
 type LeaderTermState = 'rebuilding' | 'serving' | 'over';
@@ -70,7 +70,7 @@
   /** How long the last pass took: the next one waits for longer than that. */
   private passMs = 0;
   private readonly lateness: Lateness;
-  private heardAt: number;
+  private readonly contact: WorkerContact;
   private readonly takeover: Takeover;
   private readonly feed: JobFeed;
   private readonly leaseExtensionMs: number;
@@ -82,10 +82,11 @@
   ) {
     const { world, settings } = deps;
     this.baseToken = claim.revision * TOKEN_SPAN;
-    this.heardAt = world.clock.now();
-    this.lateness = new Lateness(TICK_MS, this.heardAt, world.log);
+    const now = world.clock.now();
+    this.contact = new WorkerContact(settings.reportS, now);
+    this.lateness = new Lateness(TICK_MS, now, world.log);
     this.leaseExtensionMs = leaseExtensionMs(settings.cancelS, settings.leaseS);
-    this.grants = new LeaseExtensionGrants(this.leaseExtensionMs, this.heardAt);
+    this.grants = new LeaseExtensionGrants(this.leaseExtensionMs, now);
     this.table = new MachineTable(this.baseToken, settings.leaseS * 1000, (id) => this.jobs.get(id), {
       attemptAdded: (e) => {
         this.placement.attemptAdded(e);
@@ -162,8 +163,10 @@
       jobs: this.jobs,
       txnOps: settings.txnOps,
       writeRps: settings.stateWriteRps,
+      valueBytes: settings.valueKb * 1024,
       leads: () => this.leads(),
       leaderGuard: () => this.deps.guard(),
+      segmentGuard: () => this.deps.segmentGuard(),
       surelyEmpty: (job) => (job.fresh || this.takeover.isComplete()) && job.attempts.size === 0,
       ended: (job) => {
         this.close(job);
@@ -213,6 +216,11 @@
     });
   }
 
+  /** How many records in newer forms are left, while the cluster's level is lowered. */
+  conversion(): Conversion {
+    return this.state === 'serving' ? this.completionWriter.conversion() : REBUILDING;
+  }
+
   /** Is this node entitled to act at this very moment? */
   private leads(): boolean {
     return this.state === 'serving' && this.deps.leads();
@@ -230,7 +238,7 @@
   /** After a pause nobody else can have led: the tables still stand, but silence meanwhile means nothing. */
   resumed(): void {
     const now = this.deps.world.clock.now();
-    this.heardAt = now;
+    this.contact.heard(now);
     for (const m of this.table.all()) m.heardAt = Math.max(m.heardAt, now);
     this.wake();
   }
@@ -244,8 +252,9 @@
     }
     if (since === null || !this.isRebuilding()) return;
     this.become('serving');
-    this.heardAt = clock.now();
-    this.takeover.begin(this.heardAt);
+    const now = clock.now();
+    this.contact.heard(now);
+    this.takeover.begin(now);
     for (const m of this.table.all()) this.sender.flush(m, true);
     void this.feed.follow(since);
     this.tick();
@@ -358,7 +367,8 @@
       this.wake();
       this.sender.flushDue(true);
       this.probeUnanswered(now);
-      this.handOverIfUnheard(now);
+      if (this.contact.isLost(this.known(), this.lateness.isBehind(now), now))
+        this.deps.handOver('no worker is heard');
     }
     world.clock.after(TICK_MS, () => {
       this.tick();
@@ -387,14 +397,6 @@
     }
   }
 
-  /** Of many machines some report every moment; of few, a report or two may be late. */
-  private handOverIfUnheard(now: number): void {
-    const known = this.known();
-    const many = known >= MANY && !this.lateness.isBehind(now);
-    const fewMs = Math.max(QUIET_FEW_MS, this.deps.settings.reportS * 1000 * QUIET_FEW_REPORTS);
-    if (known > 0 && now - this.heardAt > (many ? QUIET_MS : fewMs)) this.deps.handOver('no worker is heard');
-  }
-
   private known(): number {
     let n = 0;
     for (const m of this.table.all()) if (m.stored) n++;
@@ -406,7 +408,7 @@
     const fresh = r.session > m.session || (r.session === m.session && r.seq > m.seq);
     if (!fresh) return;
     m.heardAt = now;
-    this.heardAt = now;
+    this.contact.heard(now);
     const wasUsable = m.certain();
     this.table.apply(m, r, now);
     // It has told what it holds.
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -12,6 +12,8 @@
 /** Tokens leave this much room below the claim's revision, for raising the token of one machine. */
 export const TOKEN_SPAN = 2 ** 20;
 const WATCH_MS = 10_000;
+/** How soon a process that may not lead looks again. */
+const INELIGIBLE_MS = 500;
 /** Without a claim nothing may be written: no key ever has this revision. */
 const NO_REVISION = Number.MAX_SAFE_INTEGER;
 
@@ -59,6 +61,8 @@
     private readonly ttlMs: number,
     private readonly store: StateStore,
     private readonly events: LeadershipEvents,
+    /** May this process lead at all now? */
+    private readonly isEligible: () => boolean = () => true,
   ) {}
 
   private become(next: LeadershipState, why: string): void {
@@ -145,7 +149,8 @@
         this.known = null;
         if (this.state === 'leading' || this.state === 'paused') this.become('following', 'key is gone');
         const wait = this.claimNotBefore - clock.now();
-        if (wait > 0) await this.waitForChange(r.revision, Math.min(wait, WATCH_MS));
+        if (!this.isEligible()) await sleep(clock, INELIGIBLE_MS);
+        else if (wait > 0) await this.waitForChange(r.revision, Math.min(wait, WATCH_MS));
         else await this.tryClaim();
         continue;
       }
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,21 +1,35 @@
-/** The program: reads its settings, brings the real clock, sockets and log, and runs one controller. */
+/** The command line: runs a controller, or an operators' command beside the controllers. */
 import { readFileSync } from 'node:fs';
 import { performance } from 'node:perf_hooks';
-import { Command } from 'commander';
+import { Argument, Command, CommanderError } from 'commander';
 import pino from 'pino';
 import manifest from '../package.json' with { type: 'json' };
 import { httpServer } from './http-server.js';
 import { ControllerNode } from './node.js';
 import { outgoing } from './outgoing.js';
 import { Peers } from './peers/peers.js';
+import { ROLLOUT_ACTIONS, type RolloutAction, runRolloutCommand } from './rollout/command-line.js';
 import type { World } from './runtime.js';
 import { shareSockets } from './sockets.js';
 import { type OperatorSettings, readOperatorSettings } from './settings/operator.js';
 import { type PlatformSettings, SettingsError, readPlatformSettings } from './settings/platform.js';
 
+const EXIT_BAD_INPUT = 2;
+
+interface Options {
+  config: string;
+  operator?: string;
+  json?: boolean;
+}
+
+interface Settings {
+  platform: PlatformSettings;
+  operator: OperatorSettings;
+}
+
 function fail(line: string): never {
   process.stderr.write(`millring: ${line}\n`);
-  process.exit(2);
+  process.exit(EXIT_BAD_INPUT);
 }
 
 function readFile(path: string): string {
@@ -48,21 +62,13 @@
   return typeof s === 'string' ? fail(`${path}: ${s}`) : s;
 }
 
-function main(): void {
-  const options = new Command('millring')
-    .description('A controller of the millring cluster scheduler.')
-    .version(manifest.version)
-    .requiredOption('--config <file>', 'settings handed over by the platform (TOML)')
-    .option('--operator <file>', "operators' own settings (JSON)")
-    .parse()
-    .opts<{ config: string; operator?: string }>();
-  const settings = loadPlatform(options.config);
-  const operator = loadOperator(options.operator, settings.zone);
-  const log = pino(
-    { level: process.env.LOG_LEVEL ?? 'info', base: { node: settings.node } },
-    pino.destination({ dest: 2, sync: true }),
-  );
-  const world: World = {
+function loadSettings(options: Options): Settings {
+  const platform = loadPlatform(options.config);
+  return { platform, operator: loadOperator(options.operator, platform.zone) };
+}
+
+function realWorld(platform: PlatformSettings, log: World['log']): World {
+  return {
     clock: {
       now: () => performance.now(),
       after: (ms, fn) => {
@@ -72,18 +78,27 @@
         };
       },
     },
-    http: outgoing([settings.state, settings.cloud], shareSockets(settings.sockets).toWorkers),
+    http: outgoing([platform.state, platform.cloud], shareSockets(platform.sockets).toWorkers),
     log,
     random: () => Math.random(),
   };
+}
+
+function logger(level: string, node: string): World['log'] {
+  return pino({ level, base: { node } }, pino.destination({ dest: 2, sync: true }));
+}
+
+function runController({ platform, operator }: Settings): void {
+  const log = logger(process.env.LOG_LEVEL ?? 'info', platform.node);
+  const world = realWorld(platform, log);
   const peers = new Peers(
     world,
-    settings.peerBind,
-    settings.peers.map((p) => p.address),
+    platform.peerBind,
+    platform.peers.map((p) => p.address),
   );
   const node = new ControllerNode(
     world,
-    settings,
+    platform,
     operator,
     () => Date.now(),
     (m) => {
@@ -93,14 +108,58 @@
   peers.messages.subscribe((m) => {
     node.peerMessage(m);
   });
-  const server = httpServer(node, settings.sockets, log);
-  const [host, port] = settings.listen.split(':');
+  const server = httpServer(node, platform.sockets, log);
+  const [host, port] = platform.listen.split(':');
   server.on('error', (e) => fail(`listen: ${e.message}`));
-  server.listen(Number(port), host, shareSockets(settings.sockets).backlog, () => {
-    log.info({ listen: settings.listen }, 'listening');
+  server.listen(Number(port), host, shareSockets(platform.sockets).backlog, () => {
+    log.info({ listen: platform.listen }, 'listening');
   });
   peers.run();
   node.run();
 }
 
-main();
+async function runRollout(action: RolloutAction, options: Options): Promise<void> {
+  const { platform, operator } = loadSettings(options);
+  const world = realWorld(platform, logger('silent', platform.node));
+  const command = { action, json: options.json === true };
+  const outcome = await runRolloutCommand(command, world, platform, operator, () => Date.now());
+  const isForOutput = outcome.exitCode === 0 || command.json;
+  (isForOutput ? process.stdout : process.stderr).write(`${outcome.text}\n`, () => {
+    process.exit(outcome.exitCode);
+  });
+}
+
+function commandLine(): Command {
+  const program = new Command('millring')
+    .description('A controller of the millring cluster scheduler.')
+    .version(manifest.version)
+    .requiredOption('--config <file>', 'settings handed over by the platform (TOML)')
+    .option('--operator <file>', "operators' own settings (JSON)")
+    .showSuggestionAfterError(false)
+    .exitOverride();
+  program.action(() => {
+    runController(loadSettings(program.opts()));
+  });
+  program
+    .command('rollout')
+    .description("Shows or changes the cluster's feature level.")
+    .addArgument(new Argument('<action>').choices(ROLLOUT_ACTIONS))
+    .option('--json', 'answer as JSON')
+    .showSuggestionAfterError(false)
+    .exitOverride()
+    .action((action: RolloutAction, _options: unknown, command: Command) =>
+      runRollout(action, command.optsWithGlobals()),
+    );
+  return program;
+}
+
+async function main(): Promise<void> {
+  try {
+    await commandLine().parseAsync();
+  } catch (e) {
+    if (!(e instanceof CommanderError)) throw e;
+    process.exit(e.exitCode === 0 ? 0 : EXIT_BAD_INPUT);
+  }
+}
+
+void main();
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,4 +1,5 @@
 /** One controller node: what it answers, apart from sockets, so that tests can run whole clusters in a simulation. */
+import type { Build } from '@millring/rollout';
 import type { OperatorSettings } from './settings/operator.js';
 import type { PlatformSettings } from './settings/platform.js';
 import { type World, sleep } from './runtime.js';
@@ -10,7 +11,9 @@
 import { type Claim, Leadership } from './leadership/leadership.js';
 import { Cancellations } from './jobs/cancellations.js';
 import { Attestations } from './peers/attestations.js';
+import { BUILD, COMPACT_FINISHED_TASKS } from './build.js';
 import type { PeerMessage } from './peers/peers.js';
+import { ControllerRollout } from './rollout/controller-rollout.js';
 import { StateStore } from './state-store/client.js';
 import type { Body } from './wire/cbor.js';
 import { catalogBody, readTypes } from './wire/cloud.js';
@@ -33,6 +36,7 @@
 export class ControllerNode {
   readonly api: JobsApi;
   readonly leadership: Leadership;
+  readonly rollout: ControllerRollout;
   private readonly store: StateStore;
   private readonly cloud: Cloud;
   private term: LeaderTerm | null = null;
@@ -52,7 +56,9 @@
     private readonly operator: OperatorSettings,
     private readonly wallMs: () => number,
     private readonly tellPeers: (m: PeerMessage) => void,
+    build: Build = BUILD,
   ) {
+    const process = `${wallMs()}-${world.random()}`;
     this.store = new StateStore(world, {
       address: settings.state,
       nodes: settings.nodes,
@@ -63,7 +69,7 @@
     this.cancellations.onNew((id) => this.term?.cancelledElsewhere(id));
     this.attestations = new Attestations(
       settings.node,
-      `${wallMs()}-${world.random()}`,
+      process,
       settings.peers.map((p) => p.name),
       () => world.clock.now(),
     );
@@ -80,20 +86,23 @@
     );
     this.keeper = new LeaseExtender(leaseExtensionMs(settings.cancelS, settings.leaseS));
     this.cloud = new Cloud(world, settings.cloud, settings.cloudRps);
-    this.leadership = new Leadership(world, settings, operator.leader_lease_ms, this.store, {
-      elected: (claim) => {
-        this.startTerm(claim);
-      },
-      deposed: () => {
-        this.term?.end();
-        this.term = null;
-      },
-      resumed: () => this.term?.resumed(),
+    this.rollout = new ControllerRollout({
+      world,
+      settings,
+      operator,
+      store: this.store,
+      build,
+      process,
+      wallMs,
+      tellPeers,
+      excluded: () => void this.leadership.handOver('the stored state cannot be read'),
     });
+    this.leadership = this.createLeadership();
     this.api = new JobsApi({
       settings,
       store: this.store,
       mirror: this.mirror,
+      mayServe: () => this.rollout.mayServe(),
       types: () => this.types,
       progress: (id) => this.term?.progressFor(id) ?? this.progress.get(id),
       confirming: (id) => {
@@ -104,7 +113,7 @@
   }
 
   run(): void {
-    void this.learnTypes().then(() => {
+    void Promise.all([this.learnTypes(), this.rollout.join()]).then(() => {
       this.leadership.run();
     });
     this.tellProgress();
@@ -112,6 +121,23 @@
     void this.readCancellations();
   }
 
+  private createLeadership(): Leadership {
+    const { world, settings, operator, store } = this;
+    const events = {
+      elected: (claim: Claim): void => {
+        this.startTerm(claim);
+      },
+      deposed: (): void => {
+        this.term?.end();
+        this.term = null;
+      },
+      resumed: (): void => this.term?.resumed(),
+    };
+    return new Leadership(world, settings, operator.leader_lease_ms, store, events, () =>
+      this.rollout.mayServe(),
+    );
+  }
+
   private async readCancellations(): Promise<void> {
     for (;;) {
       await this.mirror.fresh();
@@ -132,7 +158,14 @@
    * outage for all there is no elsewhere, and nodes that stay healthy serve again at once when it ends.
    */
   healthy(): boolean {
-    return this.types !== null && !this.unservedAlone();
+    return this.unhealthyBecause() === null;
+  }
+
+  /** Null while requests can be taken. */
+  unhealthyBecause(): string | null {
+    if (!this.rollout.mayServe()) return this.rollout.reason();
+    if (this.types === null) return 'the machine types are not known yet';
+    return this.unservedAlone() ? 'the state service does not serve this controller' : null;
   }
 
   private unservedAlone(): boolean {
@@ -144,7 +177,7 @@
 
   private startTerm(claim: Claim): void {
     const { world, settings, operator, store, wallMs, leadership } = this;
-    this.term = new LeaderTerm(
+    const term = new LeaderTerm(
       {
         world,
         settings,
@@ -156,11 +189,19 @@
         guard: () => leadership.guard(),
         isCancelled: (id) => this.cancellations.has(id),
         informed: () => this.cancellations.ageMs() < INFORMED_MS,
+        segmentGuard: () => this.rollout.writeGuard(COMPACT_FINISHED_TASKS),
         handOver: (why) => void leadership.handOver(why),
       },
       claim,
     );
-    void this.term.run();
+    this.term = term;
+    void term.run();
+    this.rollout.coordinate({
+      leads: () => leadership.leads() && leadership.current() === claim,
+      active: () => leadership.current() === claim,
+      leaderGuard: () => leadership.guard(),
+      conversion: () => term.conversion(),
+    });
   }
 
   /** The catalog, from the cloud, or as a node last kept it when the cloud can't be reached. */
@@ -226,9 +267,13 @@
       case 'cancelled':
         this.cancellations.learn(m.id);
         return;
+      case 'build':
+        this.rollout.heardBuild(m);
+        return;
       case 'attest':
         for (const id of m.cancelled) this.cancellations.learn(id);
         this.attestations.heardFrom(m);
+        this.rollout.heardProcess(m.from, m.life);
         this.cancellations.completeAsOf(this.attestations.completeFrom(this.cancellations.asOf()));
     }
   }
@@ -246,6 +291,7 @@
 
   /** A worker's report. Only the leader answers 200: anything else would hold the worker while its lease runs out. */
   beat(body: Body | null): Answer {
+    if (!this.rollout.mayServe()) return NOT_NOW;
     const report = body && readReport(body);
     if (!report) this.world.log.debug({ body }, 'unreadable report');
     if (!report) return { status: 400, body: { error: 'not a report' } };
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -12,6 +12,7 @@
   | { t: 'served'; from: string; served: boolean }
   | { t: 'grant'; from: string; to: string; at: number; revision: number; keep: boolean }
   | { t: 'cancelled'; from: string; id: string }
+  | { t: 'build'; from: string; process: string; version: string; reads: [number, number]; writes: number }
   | Attestation;
 
 const FIELDS: Record<PeerMessage['t'], Record<string, (v: unknown) => boolean>> = {
@@ -20,6 +21,7 @@
   served: { served: isFlag },
   grant: { to: isText, at: isNumber, revision: isNumber, keep: isFlag },
   cancelled: { id: isText },
+  build: { process: isText, version: isText, reads: isRange, writes: isNumber },
   attest: {
     life: isText,
     upMs: isNumber,
@@ -37,6 +39,9 @@
 function isText(v: unknown): boolean {
   return typeof v === 'string';
 }
+function isRange(v: unknown): boolean {
+  return Array.isArray(v) && v.length === 2 && v.every(isNumber);
+}
 function isFlag(v: unknown): boolean {
   return typeof v === 'boolean';
 }
--- /dev/null
+++ b/src/rollout/command-line.ts
@@ -0,0 +1,121 @@
+/** `millring rollout ...`: what operators see of the cluster level and do about it. */
+import { type OperatorResult, RolloutOperator, type StatusResult } from '@millring/rollout';
+import { FEATURES } from '../build.js';
+import type { World } from '../runtime.js';
+import type { OperatorSettings } from '../settings/operator.js';
+import type { PlatformSettings } from '../settings/platform.js';
+import { StateStore } from '../state-store/client.js';
+
+export const ROLLOUT_ACTIONS = ['status', 'activate', 'abort', 'downgrade'] as const;
+export type RolloutAction = (typeof ROLLOUT_ACTIONS)[number];
+
+/** Exit codes; 2 is for bad input. */
+export const EXIT_DONE = 0;
+export const EXIT_UNREACHABLE = 1;
+export const EXIT_REFUSED = 3;
+
+export interface CommandOutcome {
+  exitCode: number;
+  /** For standard output, or for standard error if the exit code is not 0. */
+  text: string;
+}
+
+export interface RolloutCommand {
+  action: RolloutAction;
+  json: boolean;
+}
+
+export async function runRolloutCommand(
+  command: RolloutCommand,
+  world: World,
+  settings: PlatformSettings,
+  operator: OperatorSettings,
+  wallMs: () => number,
+): Promise<CommandOutcome> {
+  const rollout = new RolloutOperator({
+    store: new StateStore(world, {
+      address: settings.state,
+      nodes: settings.nodes,
+      rps: settings.stateRps,
+      writeRps: settings.stateWriteRps,
+    }),
+    controllers: [settings.node, ...settings.peers.map((peer) => peer.name)],
+    registry: FEATURES,
+    settings: operator.rollout,
+    by: `operator-${wallMs()}-${Math.floor(world.random() * 1e9)}`,
+    wallMs,
+  });
+  const format = command.json ? asJson : asText;
+  return outcomeOf(
+    command.action === 'status' ? await rollout.status() : await rollout[command.action](),
+    format,
+  );
+}
+
+type Result = OperatorResult | StatusResult;
+
+function outcomeOf(result: Result, format: (result: Result) => string): CommandOutcome {
+  const text = format(result);
+  switch (result.kind) {
+    case 'done':
+    case 'status':
+      return { exitCode: EXIT_DONE, text };
+    case 'refused':
+      return { exitCode: EXIT_REFUSED, text };
+    case 'unreachable':
+      return { exitCode: EXIT_UNREACHABLE, text };
+  }
+}
+
+function asJson(result: Result): string {
+  if (result.kind !== 'status') return JSON.stringify(result);
+  const { level, controllers } = result.view;
+  return JSON.stringify({ kind: 'status', level, controllers: Object.fromEntries(controllers) });
+}
+
+function asText(result: Result): string {
+  switch (result.kind) {
+    case 'done':
+      return `${describeLevel(result.level)}: the leader goes on with it`;
+    case 'refused':
+      return `refused: ${result.reason}`;
+    case 'unreachable':
+      return 'the state service was not reached: nothing is known of the change';
+    case 'status':
+      return statusText(result);
+  }
+}
+
+function describeLevel({
+  state,
+  active,
+  target,
+}: {
+  state: string;
+  active: number;
+  target: number | null;
+}): string {
+  return `level ${active}, ${state}${target === null ? '' : ` -> ${target}`}`;
+}
+
+function statusText({ view }: Extract<Result, { kind: 'status' }>): string {
+  const { level } = view;
+  const lines = [describeLevel(level)];
+  if (level.reason !== null) lines.push(`reason: ${level.reason}`);
+  if (level.held !== null)
+    lines.push(`level ${level.held.target} waits for an operator: ${level.held.reason}`);
+  for (const [name, state] of view.controllers) {
+    if (state.kind === 'missing') {
+      lines.push(`${name}: ${state.reason}`);
+      continue;
+    }
+    const { build, incarnation, acknowledged } = state.announcement;
+    const { version, reads, writes } = build;
+    const upToDate =
+      acknowledged === level.change || level.state === 'stable' ? '' : ', has not confirmed yet';
+    lines.push(
+      `${name}: build ${version}, reads ${reads.from} to ${reads.to}, writes ${writes}, start ${incarnation}${upToDate}`,
+    );
+  }
+  return lines.join('\n');
+}
--- /dev/null
+++ b/src/rollout/controller-rollout.ts
@@ -0,0 +1,140 @@
+/** The rollout as one controller process takes part in it: as a participant always, and as the coordinator while it leads. */
+import {
+  type Build,
+  type Conversion,
+  type FeatureMode,
+  RolloutCoordinator,
+  RolloutParticipant,
+} from '@millring/rollout';
+import { FEATURES } from '../build.js';
+import type { PeerMessage } from '../peers/peers.js';
+import type { World } from '../runtime.js';
+import type { OperatorSettings } from '../settings/operator.js';
+import type { PlatformSettings } from '../settings/platform.js';
+import type { StateStore } from '../state-store/client.js';
+import type { Guard } from '../wire/state.js';
+
+/** How often the other controllers are told of this build. */
+const TELL_MS = 5000;
+
+export interface ControllerRolloutDependencies {
+  world: World;
+  settings: PlatformSettings;
+  operator: OperatorSettings;
+  store: StateStore;
+  build: Build;
+  /** Tells this process apart from all others of this controller. */
+  process: string;
+  wallMs(): number;
+  tellPeers(message: PeerMessage): void;
+  /** The process may not serve any more: whatever it leads must be given up. */
+  excluded(): void;
+}
+
+/** What the coordinator needs of the leader's term. */
+export interface CoordinatedTerm {
+  leads(): boolean;
+  active(): boolean;
+  leaderGuard(): Guard;
+  conversion(target: number): Conversion;
+}
+
+export class ControllerRollout {
+  private readonly participant: RolloutParticipant;
+  /** The process of each other controller, as last heard from itself. */
+  private readonly processes = new Map<string, string>();
+  private readonly builds = new Map<string, string>();
+
+  constructor(private readonly deps: ControllerRolloutDependencies) {
+    const { store, settings, build, process, operator } = deps;
+    this.participant = new RolloutParticipant({
+      environment: this.environment(),
+      store,
+      self: settings.node,
+      process,
+      build,
+      registry: FEATURES,
+      settings: operator.rollout,
+      servingChanged: (mayServe) => {
+        if (!mayServe) deps.excluded();
+      },
+    });
+  }
+
+  private environment(): ConstructorParameters<typeof RolloutParticipant>[0]['environment'] {
+    const { world } = this.deps;
+    return {
+      clock: world.clock,
+      log: world.log,
+      wallMs: () => this.deps.wallMs(),
+      random: () => world.random(),
+    };
+  }
+
+  async join(): Promise<void> {
+    await this.participant.join();
+    if (this.deps.operator.rollout.mode !== 'off') this.tellBuild();
+  }
+
+  mayServe(): boolean {
+    return this.participant.mayServe();
+  }
+
+  /** Why nothing is served. */
+  reason(): string {
+    return this.participant.reason();
+  }
+
+  /** See `RolloutParticipant.writeGuard`. */
+  writeGuard(feature: string): Guard | null {
+    return this.participant.writeGuard(feature);
+  }
+
+  mode(feature: string): FeatureMode {
+    return this.participant.mode(feature);
+  }
+
+  /** For the time of one claim. */
+  coordinate(term: CoordinatedTerm): void {
+    const { settings, store, operator } = this.deps;
+    const coordinator = new RolloutCoordinator({
+      environment: this.environment(),
+      store,
+      self: settings.node,
+      controllers: [settings.node, ...settings.peers.map((peer) => peer.name)],
+      registry: FEATURES,
+      settings: operator.rollout,
+      knownLevel: () => this.participant.level(),
+      processes: () => this.processes,
+      leads: () => term.leads(),
+      active: () => term.active(),
+      leaderGuard: () => term.leaderGuard(),
+      conversion: (target) => term.conversion(target),
+    });
+    void coordinator.run();
+  }
+
+  private tellBuild(): void {
+    const { world, settings, build, process } = this.deps;
+    const { version, reads, writes } = build;
+    const levels = { version, reads: [reads.from, reads.to] as [number, number], writes };
+    this.deps.tellPeers({ t: 'build', from: settings.node, process, ...levels });
+    world.clock.after(TELL_MS, () => {
+      this.tellBuild();
+    });
+  }
+
+  /** Another controller was heard: builds without the rollout tell their process, too. */
+  heardProcess(controller: string, process: string): void {
+    this.processes.set(controller, process);
+  }
+
+  heardBuild(message: Extract<PeerMessage, { t: 'build' }>): void {
+    const { from, process, version, reads, writes } = message;
+    this.heardProcess(from, process);
+    const build = `${version}, reads ${reads[0]} to ${reads[1]}, writes ${writes}`;
+    if (this.builds.get(from) === build) return;
+    this.builds.set(from, build);
+    this.deps.world.log.info({ controller: from, build }, 'build of another controller');
+  }
+}
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -1,6 +1,7 @@
 /**
  * Reads the operators' own settings (JSON), checked against `operator.schema.json`, which has the defaults.
  */
+import type { RolloutSettings } from '@millring/rollout';
 import { Ajv } from 'ajv';
 import schema from './operator.schema.json' with { type: 'json' };
 
@@ -26,6 +27,8 @@
   /** Room kept free over what is used, where money counts. */
   spare_share: number;
   command_timeout_ms: number;
+  /** How new forms and decisions are turned on across controllers of several versions. */
+  rollout: RolloutSettings;
 }
 
 const wrapper = {
--- /dev/null
+++ b/test/finished-records.test.ts
@@ -0,0 +1,92 @@
+/** The stored forms of finished task numbers. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { CHUNKS, type Layout, readFinishedRecord, recordsOfChunk } from '../src/jobs/finished-records.js';
+import { Job } from '../src/jobs/job-table.js';
+import { CHUNK } from '../src/jobs/records.js';
+import { MAX_TASKS } from '../src/wire/model.js';
+import { spec } from './sim/job-spec.js';
+
+const LAYOUTS: Layout[] = [CHUNKS, ...[0, 1, 4, 5, 6].map((split) => ({ kind: 'segments' as const, split }))];
+
+/** Stores all chunks of the job in a layout, and reads them into an empty one. */
+function storeAndLoad(job: Job, layout: Layout, valueBytes = Infinity): Job {
+  const loaded = new Job(1, job.spec, 1, 0, true, 0);
+  for (let chunk = 0; chunk * CHUNK < job.spec.tasks; chunk++) {
+    const made = recordsOfChunk(job.finished, job.spec.tasks, chunk, layout, valueBytes);
+    assert.ok(made.kind === 'fits' && made.chunks.includes(chunk));
+    for (const { number, value } of made.records) {
+      const read = readFinishedRecord(number, value);
+      assert.ok(read.kind === 'readable');
+      loaded.loadFinished(read.firstTask, read.bits);
+    }
+  }
+  return loaded;
+}
+
+test('finished task numbers survive packing, in any order, chunk by chunk, in every layout', () => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 3 * CHUNK }),
+      fc.array(fc.nat(3 * CHUNK - 1), { maxLength: 60 }),
+      fc.constantFrom(...LAYOUTS),
+      (n, list, layout) => {
+        const a = new Job(0, spec({ tasks: n }), 1, 0, true, 0);
+        for (const taskNumber of list) a.finish(taskNumber, 0);
+        const b = storeAndLoad(a, layout);
+        assert.deepEqual(b.finished, a.finished);
+        assert.equal(b.finishedCount, new Set(list.filter((x) => x < n)).size);
+        assert.equal(b.pending(), n - b.finishedCount);
+      },
+    ),
+    { seed: 7, numRuns: 100 },
+  );
+});
+
+test('the finest segments of random numbers fit into the least value size that settings allow', () => {
+  const random = fc.sample(fc.uint8Array({ minLength: 12_500, maxLength: 12_500 }), {
+    seed: 3,
+    numRuns: 1,
+  })[0];
+  for (let chunk = 0; chunk * CHUNK < MAX_TASKS; chunk++) {
+    const made = recordsOfChunk(random, MAX_TASKS, chunk, { kind: 'segments', split: 6 }, 512);
+    assert.ok(made.kind === 'fits');
+    for (const { value } of made.records) assert.ok(JSON.stringify(value).length <= 512);
+  }
+  const coarse = recordsOfChunk(random, MAX_TASKS, 0, { kind: 'segments', split: 0 }, 512);
+  assert.equal(coarse.kind, 'too-large');
+});
+
+// A build from before levels reads texts only, so that a segment must be anything but a text.
+test('a segment is no text, which a build without levels would take for a chunk', () => {
+  const made = recordsOfChunk(
+    new Uint8Array(2000).fill(255),
+    16_000,
+    0,
+    { kind: 'segments', split: 0 },
+    4096,
+  );
+  assert.ok(made.kind === 'fits');
+  for (const { value } of made.records) assert.equal(typeof value, 'object');
+});
+
+test('records that cannot be read tell of no finished task', () => {
+  const good = { from: 0, tasks: 4096, deflated: 'AAAA' };
+  const wrong: [number, unknown][] = [
+    [0, 17],
+    [1000, 'AAAA'],
+    [1000, good],
+    [1000, { ...good, from: 3 }],
+    [1000, { ...good, tasks: 10_000_000 }],
+    [1000, { ...good, deflated: null }],
+    [Number.NaN, {}],
+  ];
+  for (const [number, value] of wrong) assert.equal(readFinishedRecord(number, value).kind, 'unreadable');
+  // Unpacks to more, and to less, than it claims to cover.
+  const made = recordsOfChunk(new Uint8Array(1024).fill(255), 8192, 0, { kind: 'segments', split: 0 }, 4096);
+  assert.ok(made.kind === 'fits');
+  const { number, value } = made.records[0];
+  for (const tasks of [4096, 16_384])
+    assert.equal(readFinishedRecord(number, { ...(value as object), tasks }).kind, 'unreadable');
+});
--- /dev/null
+++ b/test/rollout.test.ts
@@ -0,0 +1,398 @@
+/** The rollout in whole simulated clusters: builds that differ in their highest level, replaced while jobs run. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  type Build,
+  type ClusterLevel,
+  type OperatorResult,
+  RolloutOperator,
+  type RolloutSettings,
+} from '@millring/rollout';
+import { BUILD, FEATURES } from '../src/build.js';
+import { StateStore } from '../src/state-store/client.js';
+import { Cluster, type ClusterConfig } from './sim/cluster.js';
+import { BATCH } from './sim/jobs.js';
+import { outsider } from './sim/outsider.js';
+import { expectKept, play } from './sim/play.js';
+import { RolloutRules } from './sim/rollout-rules.js';
+
+/** What ran before: it has the gate, and knows the base level only. */
+const OLD: Build = { version: '0.0.9', reads: { from: 1, to: 1 }, writes: 1 };
+const NEW: Build = BUILD;
+const NAMES = ['n0', 'n1', 'n2'];
+
+const SETTINGS: RolloutSettings = {
+  mode: 'automatic',
+  soak_s: 2,
+  stall_s: 15,
+  restarts: 3,
+  announcement_lease_s: 3,
+  ungated_builds_retired: false,
+};
+
+const STEP_S = 0.05;
+/** Longer than a change of level takes with nobody away. */
+const ROLL_S = 15;
+
+class Roll {
+  readonly cluster: Cluster;
+  readonly rules: RolloutRules;
+
+  constructor(seed: number, build: Build, config: Partial<ClusterConfig> = {}) {
+    const builds = Object.fromEntries(NAMES.map((name) => [name, build]));
+    this.cluster = new Cluster({ seed, ordinaryUp: 8, rollout: SETTINGS, builds, ...config });
+    this.rules = new RolloutRules(this.cluster);
+  }
+
+  /** What is stored, or the beginning. */
+  get level(): Pick<ClusterLevel, 'state' | 'active' | 'reason' | 'held'> {
+    return this.rules.level ?? { state: 'stable', active: 1, reason: null, held: null };
+  }
+
+  replace(name: string, build: Build, downMs = 500): void {
+    this.cluster.builds.set(name, build);
+    this.cluster.crash(name, downMs);
+  }
+
+  async until(what: string, holds: () => boolean, withinS = 40): Promise<void> {
+    for (let waited = 0; waited < withinS; waited += STEP_S) {
+      if (holds()) return;
+      await this.cluster.run(STEP_S);
+    }
+    assert.fail(`not within ${withinS} s: ${what}; ${JSON.stringify(this.level)}`);
+  }
+
+  reaches(state: ClusterLevel['state'], active: number): Promise<void> {
+    return this.until(`${state} ${active}`, () => this.level.state === state && this.level.active === active);
+  }
+
+  /** For so long the active level stays. */
+  async staysAt(active: number, seconds: number): Promise<void> {
+    for (let waited = 0; waited < seconds; waited += 1) {
+      await this.cluster.run(1);
+      assert.equal(this.level.active, active);
+    }
+  }
+
+  leader(): string {
+    return this.cluster.leader() ?? assert.fail('nobody leads');
+  }
+
+  follower(): string {
+    return NAMES.find((name) => name !== this.cluster.leader()) ?? assert.fail('nobody follows');
+  }
+
+  async ask(action: 'activate' | 'abort' | 'downgrade'): Promise<OperatorResult> {
+    const { cluster } = this;
+    const store = new StateStore(outsider(cluster), { address: 'state:1', nodes: 1, rps: 100, writeRps: 50 });
+    const operator = new RolloutOperator({
+      store,
+      controllers: NAMES,
+      registry: FEATURES,
+      settings: SETTINGS,
+      by: `operator-${cluster.clock.time}`,
+      wallMs: () => 1e12 + cluster.clock.time,
+    });
+    let result: OperatorResult | null = null;
+    void operator[action]().then((r) => (result = r));
+    await this.until('the command has ended', () => result !== null);
+    return result ?? assert.fail();
+  }
+
+  /** An array so large that its finished tasks are stored in segments under the new level. */
+  submitLarge(): string {
+    const body = this.cluster.jobBody({ ...BATCH, sacks: 2400, grind_s: 0.5, miller: 't0' });
+    void this.cluster.user(body, null);
+    return String(body.id);
+  }
+
+  /** Nothing was broken, and all arrays end. */
+  async finish(): Promise<void> {
+    const { rules } = this.cluster;
+    const open = (): boolean =>
+      [...rules.jobs.values()].some((job) => job.spec.grind !== 'daemon' && job.toldDoneAt === null);
+    await this.until('all arrays are done', () => !open(), 120);
+    assert.deepEqual(rules.broken, []);
+  }
+}
+
+const LARGE: Partial<ClusterConfig> = { ordinaryUp: 24, capacity: 24, teamLimit: 400 };
+
+function withJobs(roll: Roll, count = 4): void {
+  for (let i = 0; i < count; i++) void roll.cluster.user(roll.cluster.jobBody({ ...BATCH, sacks: 6 }), null);
+}
+
+test('the level is raised by itself once every controller has the new build, and not before', async () => {
+  const roll = new Roll(1, OLD);
+  await roll.cluster.run(6);
+  withJobs(roll);
+  for (const name of NAMES) {
+    await roll.staysAt(1, 6);
+    roll.replace(name, NEW);
+  }
+  await roll.reaches('stable', 2);
+  await roll.finish();
+});
+
+// Without the check of builds while a level is raised, the one that went back would be left behind.
+for (const phase of ['preparing', 'activating'] as const)
+  for (const role of ['follower', 'leader'] as const)
+    test(`a ${role} that is rolled back while ${phase} ends the change, which begins again with the next build`, async () => {
+      const roll = new Roll(2, NEW);
+      withJobs(roll);
+      await roll.reaches(phase, 1);
+      const name = roll[role]();
+      roll.replace(name, OLD, 100);
+      await roll.until('given up', () => roll.level.held !== null);
+      assert.match(roll.level.held!.reason, new RegExp(`${name} runs build 0.0.9`));
+      await roll.reaches('stable', 1);
+      await roll.staysAt(1, ROLL_S);
+      assert.ok(roll.cluster.node(name).rollout.mayServe(), 'nothing was written that it cannot read');
+      roll.replace(name, NEW);
+      await roll.reaches('stable', 2);
+      await roll.finish();
+    });
+
+for (const role of ['follower', 'leader'] as const)
+  test(`a ${role} that is rolled back after the level was raised serves nothing until it is lowered`, async () => {
+    const roll = new Roll(3, NEW, LARGE);
+    await roll.reaches('stable', 2);
+    roll.submitLarge();
+    await roll.until('segments are stored', () => roll.rules.segments().length > 0);
+    const name = roll[role]();
+    roll.replace(name, OLD, 100);
+    await roll.cluster.run(6);
+    const node = roll.cluster.node(name);
+    assert.match(node.unhealthyBecause() ?? '', /level is 2, and this is build 0\.0\.9/);
+    const body = roll.cluster.jobBody({ ...BATCH });
+    assert.equal((await node.api.submit(body)).status, 503);
+    assert.equal((await node.api.poll('run-000001')).status, 503);
+    assert.equal((await node.api.cancel('run-000001')).status, 503);
+    assert.equal(node.beat(body).status, 503);
+    // The others go, and still it does not lead.
+    for (const other of NAMES) if (other !== name) roll.cluster.crash(other, 6000);
+    for (let s = 0; s < 7; s++) {
+      await roll.cluster.run(1);
+      assert.notEqual(roll.cluster.leader(), name);
+    }
+    await roll.until('another leads', () => roll.cluster.leader() !== undefined);
+    assert.equal((await roll.ask('downgrade')).kind, 'done');
+    await roll.reaches('stable', 1);
+    await roll.until('it serves again', () => node.healthy());
+    await roll.finish();
+  });
+
+test('a straggler that was away all the time: nothing is raised without it, whatever build it comes back with', async () => {
+  const roll = new Roll(4, OLD);
+  await roll.cluster.run(6);
+  roll.cluster.crash('n2', 60_000);
+  for (const name of ['n0', 'n1']) roll.replace(name, NEW);
+  withJobs(roll);
+  await roll.staysAt(1, 55);
+  assert.equal(roll.rules.history.length, 0, 'nothing was even proposed');
+  await roll.cluster.run(8);
+  assert.ok(roll.cluster.node('n2').rollout.mayServe());
+  await roll.staysAt(1, ROLL_S);
+  roll.replace('n2', NEW);
+  await roll.reaches('stable', 2);
+  await roll.finish();
+});
+
+// docs/safety.md: it can't refuse by itself, so the form must be one that it takes for missing knowledge.
+test('a straggler without any gate comes back, leads and goes on with what is stored in the new form', async () => {
+  const roll = new Roll(5, NEW, LARGE);
+  await roll.reaches('stable', 2);
+  roll.submitLarge();
+  withJobs(roll, 2);
+  await roll.until('segments are stored', () => roll.rules.segments().length > 0);
+  roll.cluster.ungated.add('n1');
+  roll.cluster.crash('n1', 100);
+  await roll.cluster.run(3);
+  for (const name of ['n0', 'n2']) roll.cluster.crash(name, 7000);
+  await roll.until('it leads', () => roll.cluster.leader() === 'n1', 7);
+  await roll.finish();
+  assert.deepEqual(roll.rules.segments(), [], 'the records go with their job');
+});
+
+test('a frozen leader wakes amid a change, with a late transaction on its way', async () => {
+  for (const seed of [6, 7, 8]) {
+    const roll = new Roll(seed, NEW);
+    withJobs(roll);
+    await roll.reaches('preparing', 1);
+    // Whatever is written now is carried out seconds later and never answered.
+    roll.cluster.state.lateWrites = { share: 1, until: roll.cluster.clock.time + 700 };
+    await roll.cluster.run(0.7);
+    roll.cluster.freeze(roll.leader(), 9000);
+    await roll.until('it is settled', () => roll.level.state === 'stable');
+    await roll.cluster.run(20);
+    assert.equal(roll.level.state, 'stable');
+    await roll.finish();
+  }
+});
+
+const OUTAGE_MS = 6000;
+const OUTAGES: [string, (roll: Roll) => void][] = [
+  [
+    'a follower',
+    (roll) => {
+      roll.cluster.state.refuse(`${roll.follower()}:80`, OUTAGE_MS);
+    },
+  ],
+  [
+    'the leader',
+    (roll) => {
+      roll.cluster.state.refuse(`${roll.leader()}:80`, OUTAGE_MS);
+    },
+  ],
+  [
+    'everyone',
+    (roll) => {
+      roll.cluster.state.outage(OUTAGE_MS);
+    },
+  ],
+];
+for (const phase of ['preparing', 'activating', 'lowering'] as const)
+  for (const [who, refuse] of OUTAGES)
+    test(`the state service refuses ${who} while ${phase}: the change goes on afterwards`, async () => {
+      const roll = new Roll(9, NEW);
+      withJobs(roll);
+      if (phase === 'lowering') {
+        await roll.reaches('stable', 2);
+        assert.equal((await roll.ask('downgrade')).kind, 'done');
+      } else await roll.reaches(phase, 1);
+      refuse(roll);
+      await roll.reaches('stable', phase === 'lowering' ? 1 : 2);
+      await roll.finish();
+    });
+
+test('a change without progress is given up, and waits for an operator', async () => {
+  const roll = new Roll(10, NEW);
+  await roll.reaches('preparing', 1);
+  const gone = roll.follower();
+  roll.cluster.crash(gone, 25_000);
+  await roll.until('given up', () => roll.level.held !== null);
+  assert.match(roll.level.held!.reason, new RegExp(`no progress for 15 s: ${gone}`));
+  await roll.reaches('stable', 1);
+  // It comes back with the build that it had.
+  await roll.staysAt(1, 30);
+  assert.ok(roll.cluster.isUp(gone));
+  assert.equal((await roll.ask('activate')).kind, 'done');
+  await roll.reaches('stable', 2);
+  await roll.finish();
+});
+
+test('a change is given up when processes of a controller keep ending', async () => {
+  const roll = new Roll(11, NEW);
+  await roll.reaches('preparing', 1);
+  const ending = roll.follower();
+  for (let i = 0; i < 5; i++) {
+    roll.cluster.crash(ending, 50);
+    await roll.cluster.run(0.4);
+  }
+  await roll.until('given up', () => roll.level.held !== null);
+  assert.match(roll.level.held!.reason, new RegExp(`${ending} has started`));
+  await roll.staysAt(1, 20);
+});
+
+test('lowering converts what is stored, across a crash of the leader, and is not undone by itself', async () => {
+  const roll = new Roll(12, NEW, LARGE);
+  await roll.reaches('stable', 2);
+  roll.submitLarge();
+  await roll.until('segments are stored', () => roll.rules.segments().length > 0);
+  assert.equal((await roll.ask('downgrade')).kind, 'done');
+  await roll.reaches('lowering', 2);
+  roll.cluster.crash(roll.leader(), 300);
+  await roll.reaches('stable', 1);
+  await roll.staysAt(1, ROLL_S);
+  await roll.finish();
+});
+
+test('lowering is refused by name where the older form does not fit, and the level stays', async () => {
+  const roll = new Roll(13, NEW, LARGE);
+  for (const name of NAMES) roll.cluster.overrides.set(name, { valueKb: 0.5 });
+  for (const name of NAMES) roll.cluster.crash(name, 50);
+  roll.cluster.state.bounds = { valueBytes: 512, txnOps: 12 };
+  await roll.reaches('stable', 2);
+  const body = roll.cluster.jobBody({ ...BATCH, sacks: 9000, grind_s: 0.5, miller: 't0' });
+  void roll.cluster.user(body, null);
+  await roll.until('segments are stored', () => roll.rules.segments().length > 0);
+  assert.equal((await roll.ask('downgrade')).kind, 'done');
+  await roll.until('kept', () => roll.level.state === 'stable');
+  assert.equal(roll.level.active, 2);
+  assert.match(roll.level.reason ?? '', new RegExp(`finished tasks of ${String(body.id)} don't fit`));
+  assert.equal(roll.cluster.state.tooLarge, 0);
+  assert.deepEqual(roll.cluster.rules.broken, []);
+});
+
+test("operators' commands work while nobody leads, and are refused with a reason", async () => {
+  const roll = new Roll(14, NEW, { rollout: { ...SETTINGS, mode: 'manual' } });
+  await roll.cluster.run(6);
+  assert.deepEqual(await roll.ask('abort'), {
+    kind: 'refused',
+    reason: 'nothing is being raised: the level is stable',
+  });
+  assert.equal((await roll.ask('downgrade')).kind, 'refused');
+  roll.cluster.crash(roll.leader(), 8000);
+  // The announcement of the process that has just ended still stands: the change waits for its successor.
+  assert.equal((await roll.ask('activate')).kind, 'done');
+  assert.equal(roll.cluster.leader(), undefined);
+  assert.equal((await roll.ask('abort')).kind, 'done');
+  await roll.reaches('stable', 1);
+  await roll.until('all are back', () => NAMES.every((name) => roll.cluster.isUp(name)));
+  await roll.cluster.run(3);
+  assert.equal((await roll.ask('activate')).kind, 'done');
+  await roll.reaches('stable', 2);
+  assert.deepEqual(roll.cluster.rules.broken, []);
+});
+
+test('a malformed announcement is ignored, logged once, and replaced by its controller', async () => {
+  const lines: string[] = [];
+  const roll = new Roll(15, OLD, {
+    log: (_node, text, fields) => {
+      if (text === 'announcement ignored') lines.push((fields as { reason: string }).reason);
+    },
+  });
+  await roll.cluster.run(6);
+  for (const name of NAMES) roll.replace(name, NEW, 50);
+  await roll.cluster.run(1);
+  const planted = roll.cluster.state.value('rollout/controllers/n2') as object;
+  roll.cluster.state.plant('rollout/controllers/n2', { ...planted, build: { reads: 'all' } });
+  await roll.staysAt(1, 10);
+  assert.equal(lines.length, 1);
+  assert.match(lines[0], /malformed/);
+  // The next process of the controller announces itself anew.
+  roll.cluster.crash('n2', 50);
+  await roll.reaches('stable', 2);
+});
+
+for (const seed of [31, 32, 33, 34, 35, 36])
+  test(`random upgrades, rollbacks, crashes, cuts, outages and late writes (${seed})`, async () => {
+    let rules: RolloutRules | null = null;
+    const outcome = await play(
+      {
+        seed,
+        ordinaryUp: 20,
+        capacity: 12,
+        rollout: { ...SETTINGS, stall_s: 8 },
+        builds: Object.fromEntries(NAMES.map((name) => [name, OLD])),
+      },
+      (c, s) => {
+        rules ??= new RolloutRules(c);
+        if (s === 0) for (const name of NAMES) c.wallSkewMs.set(name, c.random.between(-2000, 2000));
+        const name = c.random.pick(NAMES);
+        if (s < 50 && c.random.chance(0.12)) {
+          c.builds.set(name, c.random.chance(0.75) ? NEW : OLD);
+          c.crash(name, c.random.between(50, 3000));
+        }
+        if (s % 17 === 9) c.state.refuse(`${name}:80`, c.random.between(1000, 6000));
+        if (s === 23) c.state.outage(5000);
+        if (s % 19 === 11) c.state.lateWrites = { share: 0.3, until: c.clock.time + 2000 };
+        if (s % 13 === 7) c.freeze(name, c.random.between(500, 6000));
+        if (s % 21 === 15) c.isolate(name, c.random.between(1000, 5000), 'reset');
+        if (s === 50) for (const each of NAMES) c.builds.set(each, NEW);
+        if (s === 52) for (const each of NAMES) c.crash(each, c.random.between(50, 2000));
+      },
+    );
+    expectKept(outcome);
+    assert.ok(rules!.history.length > 0, 'the level changed');
+  });
--- /dev/null
+++ b/test/sim/rollout-rules.ts
@@ -0,0 +1,85 @@
+/** What must hold of the cluster level after each step, whatever fails: looked at from outside the controllers. */
+import type { ClusterLevel } from '@millring/rollout';
+import { BUILD, COMPACT_FINISHED_TASKS } from '../../src/build.js';
+import type { Cluster } from './cluster.js';
+
+const LEVEL_KEY = 'rollout/level';
+const FIRST_SEGMENT = 1000;
+
+const NEXT: Record<ClusterLevel['state'], ClusterLevel['state'][]> = {
+  stable: ['preparing', 'lowering', 'stable'],
+  preparing: ['activating', 'aborting'],
+  activating: ['stable', 'aborting'],
+  aborting: ['stable'],
+  lowering: ['stable'],
+};
+
+export class RolloutRules {
+  /** All levels that were ever stored, in order. */
+  readonly history: ClusterLevel[] = [];
+  private seenVersion = 0;
+
+  constructor(private readonly cluster: Cluster) {
+    cluster.checks.push(() => {
+      this.check();
+    });
+  }
+
+  get level(): ClusterLevel | undefined {
+    return this.history.at(-1);
+  }
+
+  segments(): string[] {
+    return [...this.cluster.state.items.keys()].filter(
+      (key) => key.startsWith('d/') && Number(key.slice(key.lastIndexOf('/') + 1)) >= FIRST_SEGMENT,
+    );
+  }
+
+  private check(): void {
+    const item = this.cluster.state.items.get(LEVEL_KEY);
+    if (item && item.version !== this.seenVersion) {
+      this.seenVersion = item.version;
+      this.stored(item.value as ClusterLevel);
+    }
+    this.checkModes();
+  }
+
+  private stored(next: ClusterLevel): void {
+    const last = this.level;
+    this.history.push(next);
+    const { rules } = this.cluster;
+    if (last && next.change !== last.change + 1)
+      rules.break('rollout_history', `${last.change} -> ${next.change}`);
+    if (last && !NEXT[last.state].includes(next.state))
+      rules.break('rollout_history', `${last.state} -> ${next.state}`);
+    if (last && next.active > last.active) this.checkAllCan(next.active);
+    if (next.active === 1 && next.state === 'stable' && this.segments().length > 0)
+      rules.break('rollout_lowered', this.segments()[0]);
+  }
+
+  /** A controller that is up when the level is raised runs a build that can follow. */
+  private checkAllCan(active: number): void {
+    const { cluster } = this;
+    for (const name of cluster.names)
+      if (cluster.isUp(name) && this.buildOf(name).reads.to < active)
+        cluster.rules.break('rollout_left_behind', name);
+  }
+
+  private buildOf(name: string): typeof BUILD {
+    return this.cluster.startedWith.get(name) ?? BUILD;
+  }
+
+  /** Whoever serves can read the active level, and no two are two steps apart. */
+  private checkModes(): void {
+    const { cluster } = this;
+    const modes = new Set<string>();
+    for (const name of cluster.names) {
+      const { rollout } = cluster.node(name);
+      if (!cluster.isUp(name) || cluster.runsUngated(name) || !rollout.mayServe()) continue;
+      modes.add(rollout.mode(COMPACT_FINISHED_TASKS));
+      const active = this.level?.active ?? 1;
+      if (this.buildOf(name).reads.to < active) cluster.rules.break('rollout_served', `${name} at ${active}`);
+    }
+    if (modes.has('on') && modes.has('off')) cluster.rules.break('rollout_modes', [...modes].join(', '));
+  }
+}
