Three controller processes on loopback, rolled under steady submissions; demo shares the stand-ins

Need: the issue's end-to-end case, with real processes, the operators' commands and a history check after each step.

--- /dev/null
+++ b/test/measure-rollout.ts
@@ -0,0 +1,121 @@
+/**
+ * Measures a roll on this machine: three controller processes on loopback, replaced one at a time under steady
+ * submissions, beside the same time without a roll; and the size of records of finished tasks. Not part of the tests.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import { build as histogram } from 'hdr-histogram-js';
+import { CHUNKS, type Layout, finer, recordsOfChunk } from '../src/jobs/finished-records.js';
+import { CHUNK } from '../src/jobs/records.js';
+import { ControllerProcesses } from './sim/controller-processes.js';
+import { SeededRandom } from './sim/random.js';
+
+const NAMES = ['n0', 'n1', 'n2'];
+const ROLLOUT = { mode: 'automatic', soak_s: 2, stall_s: 60, announcement_lease_s: 15 } as const;
+const REPETITIONS = 3;
+const EVERY_MS = 100;
+const QUIET_MS = 20_000;
+const BETWEEN_MS = 4000;
+const VALUE_BYTES = 4096;
+
+interface Figures {
+  submissions: number;
+  refused: number;
+  p50Ms: number;
+  p99Ms: number;
+  /** Of the rollout's own records alone. */
+  rolloutChangesPerS: number;
+  requestsPerS: number;
+  changesPerS: number;
+}
+
+/** What is submitted, refused and written while `during` runs. */
+async function measure(deployment: ControllerProcesses, during: () => Promise<void>): Promise<Figures> {
+  const { state } = deployment.standIns;
+  const accepted = deployment.latenciesMs.length;
+  const { refused } = deployment;
+  const { requests, changes } = state.asked;
+  const rolloutChanges = state.changesUnder('rollout/');
+  const began = performance.now();
+  await during();
+  const seconds = (performance.now() - began) / 1000;
+  const latencies = histogram({ lowestDiscernibleValue: 1, highestTrackableValue: 600_000 });
+  for (const ms of deployment.latenciesMs.slice(accepted)) latencies.recordValue(Math.max(1, Math.round(ms)));
+  return {
+    submissions: deployment.latenciesMs.length - accepted,
+    refused: deployment.refused - refused,
+    p50Ms: latencies.getValueAtPercentile(50),
+    p99Ms: latencies.getValueAtPercentile(99),
+    rolloutChangesPerS: (state.changesUnder('rollout/') - rolloutChanges) / seconds,
+    requestsPerS: (state.asked.requests - requests) / seconds,
+    changesPerS: (state.asked.changes - changes) / seconds,
+  };
+}
+
+function print(what: string, figures: object): void {
+  const rounded = Object.entries(figures).map(([name, value]) => [
+    name,
+    Math.round(Number(value) * 100) / 100,
+  ]);
+  console.log(what, JSON.stringify(Object.fromEntries(rounded)));
+}
+
+async function roll(): Promise<void> {
+  const deployment = new ControllerProcesses();
+  await deployment.start('old', ROLLOUT);
+  void deployment.stream(EVERY_MS);
+  await delay(BETWEEN_MS);
+  print('no roll', await measure(deployment, () => delay(QUIET_MS)));
+  let activationMs = 0;
+  const figures = await measure(deployment, async () => {
+    for (const name of NAMES) {
+      await deployment.replace(name, 'new');
+      await deployment.untilHealthy(name);
+      if (name !== NAMES.at(-1)) await delay(BETWEEN_MS);
+    }
+    const healthy = performance.now();
+    await deployment.until('the level is raised', () => deployment.level.active === 2);
+    activationMs = performance.now() - healthy;
+  });
+  print('roll', figures);
+  print('from the last healthy controller to activation', { ms: activationMs });
+  await deployment.endStream();
+  deployment.checkHistory();
+  await deployment.stop();
+}
+
+/** All records of a job, in bytes of JSON, and how many they are. */
+function stored(finished: Uint8Array, tasks: number, layout: Layout): { records: number; bytes: number } {
+  const values = new Map<number, number>();
+  for (let chunk = 0; chunk * CHUNK < tasks; chunk++) {
+    const made = recordsOfChunk(finished, tasks, chunk, layout, VALUE_BYTES);
+    if (made.kind === 'too-large') return stored(finished, tasks, finer(layout));
+    for (const { number, value } of made.records) values.set(number, JSON.stringify(value).length);
+  }
+  return { records: values.size, bytes: [...values.values()].reduce((sum, bytes) => sum + bytes, 0) };
+}
+
+/** `isFinished` of each task number. */
+function bitsOf(tasks: number, isFinished: (task: number) => boolean): Uint8Array {
+  const bits = new Uint8Array(Math.ceil(tasks / 8));
+  for (let task = 0; task < tasks; task++) if (isFinished(task)) bits[task >> 3] |= 1 << (task & 7);
+  return bits;
+}
+
+function recordSizes(): void {
+  const random = new SeededRandom(1);
+  const patterns: [string, (task: number, tasks: number) => boolean][] = [
+    ['first half, in order', (task, tasks) => task < tasks / 2],
+    ['first half but for one in twenty', (task, tasks) => task < tasks / 2 && !random.chance(0.05)],
+    ['half, at random', () => random.chance(0.5)],
+  ];
+  for (const tasks of [2048, 6144, 20_000, 100_000])
+    for (const [name, isFinished] of patterns) {
+      const bits = bitsOf(tasks, (task) => isFinished(task, tasks));
+      const chunks = stored(bits, tasks, CHUNKS);
+      const segments = stored(bits, tasks, { kind: 'segments', split: 0 });
+      console.log(`${tasks} tasks, ${name}:`, JSON.stringify({ chunks, segments }));
+    }
+}
+
+recordSizes();
+for (let i = 0; i < REPETITIONS; i++) await roll();
--- /dev/null
+++ b/test/sim/loopback.ts
@@ -0,0 +1,179 @@
+/** The stand-ins of the simulated cluster, served on loopback in real time to controllers that are real processes. */
+import { type Server, createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { outgoing } from '../../src/outgoing.js';
+import { type Body, decodeMap, encode } from '../../src/wire/cbor.js';
+import { type CloudMachine, CloudService } from './cloud.js';
+import { VirtualClock } from './clock.js';
+import { GangCoordinator } from './gang-coordinator.js';
+import { type Handler, Network } from './network.js';
+import { SeededRandom } from './random.js';
+import { Rules } from './rules.js';
+import { StateService } from './state-service.js';
+import { POLL_MS, Worker } from './worker.js';
+
+const HOST = '127.0.0.1';
+const STEP_MS = 10;
+const CPUS = 16;
+const TIMEOUT_MS = 5000;
+
+export interface LoopbackConfig {
+  seed: number;
+  controllers: { name: string; address: string }[];
+  /** Machines in each of the zones `a` and `b`, of each kind. */
+  machinesPerPool: number;
+  reportMs: number;
+  leaseMs: number;
+  cancelMs: number;
+  /** By team, the CPUs that its tasks may use. */
+  limits: Map<string, number>;
+  /** Port 0: any that is free. */
+  statePort?: number;
+  cloudPort?: number;
+}
+
+/** A free port at the moment: nobody holds it until it is used. */
+export async function freePort(): Promise<number> {
+  const server = createServer();
+  const port = await listening(server, 0);
+  await new Promise((done) => server.close(done));
+  return port;
+}
+
+function listening(server: Server, port: number): Promise<number> {
+  return new Promise((done, failed) => {
+    server.on('error', failed);
+    server.listen(port, HOST, () => {
+      done((server.address() as AddressInfo).port);
+    });
+  });
+}
+
+export class LoopbackStandIns {
+  readonly clock = new VirtualClock();
+  readonly rules: Rules;
+  readonly state: StateService;
+  stateAddress = '';
+  cloudAddress = '';
+  private readonly random: SeededRandom;
+  private readonly network: Network;
+  private readonly gangs: GangCoordinator;
+  private readonly cloud: CloudService;
+  private readonly http: ReturnType<typeof outgoing>;
+  private readonly servers: Server[] = [];
+  /** Addresses of machines, in the order of their names. */
+  private readonly endpoints: string[] = [];
+  private stopped = false;
+
+  constructor(private readonly config: LoopbackConfig) {
+    this.random = new SeededRandom(config.seed);
+    this.network = new Network(this.clock, this.random);
+    this.network.lossy = 0;
+    this.network.repeats = 0;
+    this.gangs = new GangCoordinator(this.clock, this.random);
+    this.rules = new Rules(() => this.clock.time, config.cancelMs, config.limits);
+    this.state = new StateService(this.clock, this.random);
+    const addresses = config.controllers.map(({ address }) => address);
+    this.http = outgoing(addresses, CPUS);
+    for (const address of addresses)
+      this.network.hosts.set(address, { handler: this.controller(address), hangsUntil: 0 });
+    const pools = ['a', 'b'].map((zone) => ({ type: 't16', zone, count: config.machinesPerPool }));
+    this.cloud = new CloudService(
+      this.clock,
+      this.random,
+      pools,
+      (machine) => this.boot(machine),
+      (id) => this.endpointOf(id),
+    );
+  }
+
+  /** What a controller answers to a user, or to a worker's report. */
+  private controller(address: string): Handler {
+    return (method, path, body) => this.ask(address, method as 'GET' | 'POST', path, body);
+  }
+
+  ask(
+    address: string,
+    method: 'GET' | 'POST',
+    path: string,
+    body: Body | null,
+  ): Promise<{ status: number; body: Body }> {
+    return this.http.send(address, method, path, method === 'GET' ? null : body, TIMEOUT_MS);
+  }
+
+  /** More than are ever up at once: names are not given twice. */
+  private machinesAtMost(): number {
+    return this.config.machinesPerPool * 16;
+  }
+
+  async start(): Promise<void> {
+    const { statePort = 0, cloudPort = 0 } = this.config;
+    this.stateAddress = await this.serve(statePort, (...request) => this.state.handle(...request));
+    this.cloudAddress = await this.serve(cloudPort, (_method, path, body) => this.cloud.handle(path, body));
+    for (let i = 0; i < this.machinesAtMost(); i++) {
+      const index = i;
+      const toMachine: Handler = (...request) => this.toMachine(this.endpoints[index], request);
+      this.endpoints.push(await this.serve(0, toMachine));
+    }
+    void this.run(performance.now());
+  }
+
+  stop(): void {
+    this.stopped = true;
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  private toMachine(address: string, request: Parameters<Handler>): ReturnType<Handler> {
+    const handler = this.network.hosts.get(address)?.handler;
+    return handler ? handler(...request) : { status: 503, body: {} };
+  }
+
+  private endpointOf(id: string): string {
+    const index = Number(id.slice(id.lastIndexOf('-') + 1)) - 1;
+    return this.endpoints[index % this.endpoints.length];
+  }
+
+  private boot(machine: CloudMachine): Worker {
+    return new Worker(this.network, this.random, this.rules, this.gangs, {
+      id: machine.id,
+      address: this.endpointOf(machine.id),
+      type: machine.type,
+      cpus: CPUS,
+      zone: machine.zone,
+      spot: machine.spot,
+      reportMs: this.config.reportMs,
+      leaseMs: this.config.leaseMs,
+      pollMs: POLL_MS,
+      nodes: this.config.controllers,
+      slow: 1,
+      faulty: false,
+    });
+  }
+
+  private async serve(port: number, handler: Handler): Promise<string> {
+    const server = createServer((request, response) => {
+      const parts: Buffer[] = [];
+      request.on('data', (part: Buffer) => parts.push(part));
+      request.on('end', () => {
+        const body = decodeMap(Buffer.concat(parts)) ?? {};
+        const reply = handler(request.method ?? 'GET', request.url ?? '/', body, 'controller');
+        void Promise.resolve(reply).then(({ status, body: answer }) => {
+          response.writeHead(status, { 'content-type': 'application/cbor' }).end(encode(answer));
+        });
+      });
+    });
+    this.servers.push(server);
+    return `${HOST}:${await listening(server, port)}`;
+  }
+
+  /** Virtual time follows the steady clock. */
+  private async run(startedAt: number): Promise<void> {
+    await this.clock.runUntil(performance.now() - startedAt, () => {
+      this.rules.check();
+    });
+    if (!this.stopped) setTimeout(() => void this.run(startedAt), STEP_MS);
+  }
+}
--- a/test/sim/rules.ts
+++ b/test/sim/rules.ts
@@ -61,6 +61,8 @@
   /** Which task is on which machines now. */
   readonly on = new Map<string, Place[]>();
   starts = 0;
+  /** Tasks that were started once more after they were done. */
+  readonly startsAfterDone: string[] = [];
   /** Starts after a confirmed cancellation: how long after it. */
   readonly startsCancelled: number[] = [];
 
@@ -100,6 +102,7 @@
       this.break('invented', `${task} started`);
       return;
     }
+    if (job.finished.has(Number(task.slice(task.lastIndexOf('/') + 1)))) this.startsAfterDone.push(task);
     const s = job.spec;
     const there = this.on.get(task) ?? [];
     if (there.length > 0) this.break('ran_twice', `${task} on ${place.machine} and ${there[0].machine}`);
--- a/test/sim/state-service.ts
+++ b/test/sim/state-service.ts
@@ -242,6 +242,11 @@
     return this.events.filter((e) => e.body.put === k).map((e) => e.body.data);
   }
 
+  /** Changes to keys with the prefix, as far as changes are kept. */
+  changesUnder(prefix: string): number {
+    return this.events.filter((e) => String(e.body.put ?? e.body.remove).startsWith(prefix)).length;
+  }
+
   /** A record as a test may look at it. */
   value(k: string): unknown {
     const v = this.items.get(k)?.value;
