--- a/packages/rollout/src/coordinator.ts
+++ b/packages/rollout/src/coordinator.ts
@@ -38,6 +38,8 @@
 export class RolloutCoordinator {
   /** Since when, by our steady clock, the present processes have all been able to raise the level. */
   private able: { processes: string; since: number } | null = null;
+  /** What this leader wrote last: the watch that tells of it may come a moment later. */
+  private written: ClusterLevel | null = null;
   private lastWait = '';
   private readonly logged = new Set<string>();
 
@@ -51,12 +53,17 @@
   }
 
   private isAtRest(): boolean {
-    return this.deps.knownLevel()?.state === 'stable';
+    return this.latestLevel()?.state === 'stable';
+  }
+
+  private latestLevel(): ClusterLevel | null {
+    const known = this.deps.knownLevel();
+    return known && this.written && this.written.change > known.change ? this.written : known;
   }
 
   /** A stable level is looked at only where it may be raised by itself. */
   private hasWork(): boolean {
-    const level = this.deps.knownLevel();
+    const level = this.latestLevel();
     if (!level) return false;
     return level.state !== 'stable' || this.deps.settings.mode === 'automatic';
   }
@@ -119,7 +126,9 @@
     const guards = [this.deps.leaderGuard(), { key: LEVEL_KEY, version: view.levelVersion }];
     if (decision.restsOnAll) guards.push(...announcementGuards(view));
     const result = await store.txn(guards, [{ put: LEVEL_KEY, value: next.level }]);
-    if (result.kind === 'applied') logChange(environment, view.level, next.level);
+    if (result.kind !== 'applied') return;
+    this.written = next.level;
+    logChange(environment, view.level, next.level);
   }
 
   private noteWait(level: ClusterLevel, reason: string): void {
--- a/packages/rollout/src/operator.ts
+++ b/packages/rollout/src/operator.ts
@@ -23,7 +23,9 @@
   /** The state service was not reached, or did not answer: nothing is known of the change. */
   | { kind: 'unreachable' };
 
-export type StatusResult = { kind: 'status'; view: ClusterView } | Exclude<OperatorResult, { kind: 'done' }>;
+export type StatusResult =
+  /** `obstacle`: why the level can't be raised now, or null. */
+  { kind: 'status'; view: ClusterView; obstacle: string | null } | Exclude<OperatorResult, { kind: 'done' }>;
 
 /** What an operator asks for: the event, whether it rests on all announcements, or why it is refused. */
 type Request =
@@ -33,11 +35,13 @@
   constructor(private readonly deps: OperatorDependencies) {}
 
   async status(): Promise<StatusResult> {
+    const { registry, settings } = this.deps;
     const read = await this.deps.store.scan(PREFIX);
     if (!read) return { kind: 'unreachable' };
     const result = readView(read.pairs, this.deps.controllers);
     if (result.kind === 'invalid') return { kind: 'refused', reason: result.reason };
-    return { kind: 'status', view: result.view };
+    const { view } = result;
+    return { kind: 'status', view, obstacle: obstacleToPropose(view, registry, settings) };
   }
 
   /** Begins to raise the level by one. */
--- a/src/jobs/completion-batch.ts
+++ b/src/jobs/completion-batch.ts
@@ -1,4 +1,5 @@
 import type { Change, Guard } from '../wire/state.js';
+import type { Layout } from './finished-records.js';
 import type { Job } from './job-table.js';
 import { FINISHED, liveKey } from './records.js';
 
@@ -8,7 +9,7 @@
   readonly changes: Change[] = [];
   readonly jobs = new Set<Job>();
   readonly ends: Job[] = [];
-  readonly progress: { job: Job; chunks: number[]; count: number }[] = [];
+  readonly progress: { job: Job; chunks: number[]; layout: Layout; count: number }[] = [];
   /** Records whose job has ended. */
   readonly removed: string[] = [];
   /** Records of live jobs whose tasks are told by others. */
--- a/src/jobs/completion-writer.ts
+++ b/src/jobs/completion-writer.ts
@@ -145,7 +145,8 @@
     this.partial.force(made.records.length);
     batch.add(made.records.map((record): Change => this.put(job, record)));
     batch.guardJob(job);
-    batch.progress.push({ job, chunks: made.chunks, count: job.finishedCount });
+    const layout = this.records.layoutOf(job);
+    batch.progress.push({ job, chunks: made.chunks, layout, count: job.finishedCount });
     // Marked before the answer: a record written without an answer must be removed with the job, too.
     for (const record of made.records) this.records.noteWritten(job, record.number);
   }
@@ -188,11 +189,13 @@
   private applied(batch: CompletionBatch): void {
     const now = this.deps.world.clock.now();
     // Until here the numbers stay dirty, so that nothing is forgotten by a machine before it is durable.
-    for (const { job, chunks, count } of batch.progress)
+    for (const { job, chunks, layout, count } of batch.progress) {
+      this.records.noteDurable(job, chunks, layout);
       for (const chunk of chunks) {
         if (job.finishedCount === count) job.dirty.delete(chunk);
         else if (job.dirty.has(chunk)) job.dirty.set(chunk, now);
       }
+    }
     for (const { job, recordNumber } of batch.replaced) this.records.forgetNumber(job, recordNumber);
     for (const key of batch.removed) this.leftOvers.delete(key);
     for (const job of batch.ends) this.ended(job, batch);
--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -83,13 +83,17 @@
     if (!this.dirty.has(chunk)) this.dirty.set(chunk, now);
   }
 
-  /** All that is finished has to be written again. */
-  markAllDirty(now: number): void {
+  /** All that is finished has to be written again: the chunks that hold any of it. */
+  markAllDirty(now: number): Set<number> {
+    const chunks = new Set<number>();
     const bytesPerChunk = CHUNK / 8;
     for (let chunk = 0; chunk * CHUNK < this.spec.tasks; chunk++) {
       const bytes = this.finished.subarray(chunk * bytesPerChunk, (chunk + 1) * bytesPerChunk);
-      if (!this.dirty.has(chunk) && bytes.some((byte) => byte !== 0)) this.dirty.set(chunk, now);
+      if (!bytes.some((byte) => byte !== 0)) continue;
+      chunks.add(chunk);
+      if (!this.dirty.has(chunk)) this.dirty.set(chunk, now);
     }
+    return chunks;
   }
 
   /** A gang's tasks complete together: one that is done tells it of all. */
--- a/src/jobs/progress-records.ts
+++ b/src/jobs/progress-records.ts
@@ -18,8 +18,11 @@
   layout: Layout;
   /** Numbers of all records that stand there, or may. */
   numbers: Set<number>;
-  /** All that is finished was marked as to be written in this layout, or was written in no other. */
-  rewritten: boolean;
+  /**
+   * Chunks not yet written in this layout since it was chosen; null if this leader has not chosen it. What ends
+   * meanwhile was told by no record in another layout, so that it need not be waited for.
+   */
+  toRewrite: Set<number> | null;
 }
 
 export class ProgressRecords {
@@ -46,7 +49,7 @@
   private of(job: Job): JobRecords {
     let records = this.byJob.get(job.index);
     if (!records)
-      this.byJob.set(job.index, (records = { layout: CHUNKS, numbers: new Set(), rewritten: false }));
+      this.byJob.set(job.index, (records = { layout: CHUNKS, numbers: new Set(), toRewrite: null }));
     return records;
   }
 
@@ -77,8 +80,7 @@
   private change(job: Job, layout: Layout, now: number): void {
     const records = this.of(job);
     records.layout = layout;
-    records.rewritten = true;
-    job.markAllDirty(now);
+    records.toRewrite = job.markAllDirty(now);
   }
 
   /** The records that make a chunk durable. Null: they did not fit, and from now on the job's are cut smaller. */
@@ -93,14 +95,26 @@
   /** Records in another layout than the job's present one, once all they tell is durable in that. */
   stale(job: Job, now: number): number[] {
     const records = this.byJob.get(job.index);
-    if (!records || job.dirty.size > 0) return [];
+    if (!records) return [];
     const stale = [...records.numbers].filter((number) => !sameLayout(layoutOf(number), records.layout));
-    if (stale.length === 0 || records.rewritten) return stale;
+    if (stale.length === 0) return [];
+    if (records.toRewrite !== null) return records.toRewrite.size === 0 ? stale : [];
     // Left by a leader that ended midway: each may tell what no other does.
     this.change(job, records.layout, now);
     return [];
   }
 
+  /** The chunks were written in that layout. */
+  noteDurable(job: Job, chunks: number[], layout: Layout): void {
+    const records = this.of(job);
+    if (!sameLayout(records.layout, layout)) return;
+    for (const chunk of chunks) records.toRewrite?.delete(chunk);
+  }
+
+  layoutOf(job: Job): Layout {
+    return this.of(job).layout;
+  }
+
   /** A value of this size was refused. */
   refusedAt(bytes: number): void {
     this.valueBytes = Math.min(this.valueBytes, Math.floor(bytes / 2));
--- a/src/rollout/command-line.ts
+++ b/src/rollout/command-line.ts
@@ -69,8 +69,9 @@
 
 function asJson(result: Result): string {
   if (result.kind !== 'status') return JSON.stringify(result);
-  const { level, controllers } = result.view;
-  return JSON.stringify({ kind: 'status', level, controllers: Object.fromEntries(controllers) });
+  const { view, obstacle } = result;
+  const controllers = Object.fromEntries(view.controllers);
+  return JSON.stringify({ kind: 'status', level: view.level, obstacle, controllers });
 }
 
 function asText(result: Result): string {
@@ -98,10 +99,11 @@
   return `level ${active}, ${state}${target === null ? '' : ` -> ${target}`}`;
 }
 
-function statusText({ view }: Extract<Result, { kind: 'status' }>): string {
+function statusText({ view, obstacle }: Extract<Result, { kind: 'status' }>): string {
   const { level } = view;
   const lines = [describeLevel(level)];
   if (level.reason !== null) lines.push(`reason: ${level.reason}`);
+  if (level.state === 'stable' && obstacle !== null) lines.push(`not to be raised now: ${obstacle}`);
   if (level.held !== null)
     lines.push(`level ${level.held.target} waits for an operator: ${level.held.reason}`);
   for (const [name, state] of view.controllers) {
--- a/test/finished-records.test.ts
+++ b/test/finished-records.test.ts
@@ -3,7 +3,8 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { CHUNKS, type Layout, readFinishedRecord, recordsOfChunk } from '../src/jobs/finished-records.js';
-import { Job } from '../src/jobs/job-table.js';
+import { Job, JobTable } from '../src/jobs/job-table.js';
+import { ProgressRecords } from '../src/jobs/progress-records.js';
 import { CHUNK } from '../src/jobs/records.js';
 import { MAX_TASKS } from '../src/wire/model.js';
 import { spec } from './sim/job-spec.js';
@@ -90,3 +91,29 @@
   for (const tasks of [4096, 16_384])
     assert.equal(readFinishedRecord(number, { ...(value as object), tasks }).kind, 'unreadable');
 });
+
+// A leader that ended while it replaced chunks by segments: each of both may tell what the other does not.
+test('records in two layouts are replaced only once all they tell was written again', () => {
+  const jobs = new JobTable();
+  const job = jobs.add(spec({ tasks: 20_000 }), 1, 0, true, 0);
+  const records = new ProgressRecords(jobs, 4096);
+  job.loadFinished(0, new Uint8Array([1]));
+  for (const number of [0, 1000]) records.noteWritten(job, number);
+  assert.deepEqual(records.stale(job, 5), []);
+  assert.deepEqual([...job.dirty.keys()], [0]);
+  assert.deepEqual(records.stale(job, 5), [], 'not before it is written');
+  records.noteDurable(job, [0], CHUNKS);
+  assert.deepEqual(records.stale(job, 5), [], 'nor by a write in the other layout');
+  records.noteDurable(job, [0], { kind: 'segments', split: 0 });
+  assert.deepEqual(records.stale(job, 6), [0]);
+  // Lowered: the other way round.
+  records.adapt(job, false, 7);
+  assert.deepEqual(records.stale(job, 8), []);
+  records.noteDurable(job, [0], CHUNKS);
+  // A task that ends meanwhile keeps nothing up: a busy job would never be converted.
+  job.finish(9000, 8);
+  assert.deepEqual(records.stale(job, 8), [1000]);
+  assert.deepEqual(records.conversion(), { kind: 'running', remaining: 1 });
+  records.forgetNumber(job, 1000);
+  assert.deepEqual(records.conversion(), { kind: 'done' });
+});
--- a/test/sim/rollout-rules.ts
+++ b/test/sim/rollout-rules.ts
@@ -41,9 +41,21 @@
       this.seenVersion = item.version;
       this.stored(item.value as ClusterLevel);
     }
+    this.checkAnnouncements();
     this.checkModes();
   }
 
+  /** Nothing that an earlier process had on its way takes the place of what a later one announced. */
+  private checkAnnouncements(): void {
+    const { state, rules, names } = this.cluster;
+    for (const name of names) {
+      const announcement = state.value(`rollout/controllers/${name}`) as { incarnation?: number } | undefined;
+      const present = state.value(`rollout/incarnations/${name}`) as { incarnation: number } | undefined;
+      if (announcement?.incarnation !== undefined && announcement.incarnation !== present?.incarnation)
+        rules.break('rollout_incarnation', name);
+    }
+  }
+
   private stored(next: ClusterLevel): void {
     const last = this.level;
     this.history.push(next);
