--- a/test/sim/loopback.ts
+++ b/test/sim/loopback.ts
@@ -32,12 +32,30 @@
   cloudPort?: number;
 }
 
-/** A free port at the moment: nobody holds it until it is used. */
+/** Below the ports that systems give to connections: those could take the port of a controller while it is replaced. */
+const FIRST_PORT = 20_000;
+const PORTS = 10_000;
+const given = new Set<number>();
+
+/** A port that nobody uses at the moment, never the same twice. */
 export async function freePort(): Promise<number> {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (given.has(port) || !(await isFree(port))) continue;
+    given.add(port);
+    return port;
+  }
+}
+
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  const port = await listening(server, 0);
+  try {
+    await listening(server, port);
+  } catch {
+    return false;
+  }
   await new Promise((done) => server.close(done));
-  return port;
+  return true;
 }
 
 function listening(server: Server, port: number): Promise<number> {
