--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -119,8 +119,8 @@
   }
 
   private listIntervalMs(): number {
-    const { listLagS, cloud } = this.deps;
-    return Math.max(LEAST_LIST_INTERVAL_MS, listLagS * 500, cloud.shortestListIntervalMs());
+    const fresh = Math.max(LEAST_LIST_INTERVAL_MS, this.deps.listLagS * 500);
+    return Math.max(fresh, this.deps.cloud.shortestListIntervalMs());
   }
 
   private async readList(now: number): Promise<void> {
--- a/src/placement/order.ts
+++ b/src/placement/order.ts
@@ -62,17 +62,12 @@
   return { goal: goal < 0 ? times.length : goal, work: j.pending() * j.spec.cpus * expectedMs };
 }
 
-/** Lower goes first: production, then what teams are guaranteed, then by priority. */
-export function servingRank(job: Job, guaranteed: ReadonlySet<Job>): number {
-  if (job.spec.priority === 0) return 0;
-  return guaranteed.has(job) ? 1 : 1 + job.spec.priority;
-}
-
-/** By rank, and by urgency within one. */
+/** Production first, then what teams are guaranteed, then by priority and urgency. */
 export function servingOrder(jobs: Job[], guaranteed: Set<Job>, urgencyOf: (j: Job) => Urgency): Job[] {
+  const rank = (j: Job): number => (j.spec.priority === 0 ? 0 : guaranteed.has(j) ? 1 : 1 + j.spec.priority);
   const byAge = (a: Job, b: Job): number => a.acceptedAt - b.acceptedAt || a.index - b.index;
   return jobs
-    .map((job) => ({ job, rank: servingRank(job, guaranteed), urgency: urgencyOf(job) }))
+    .map((job) => ({ job, rank: rank(job), urgency: urgencyOf(job) }))
     .sort(
       (a, b) =>
         a.rank - b.rank ||
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -16,7 +16,6 @@
   type Urgency,
   finishGoals,
   servingOrder,
-  servingRank,
   urgency,
   withinGuarantee,
 } from './order.js';
@@ -234,9 +233,9 @@
     const v = victim.job;
     // The end of one task of a gang would end them all.
     if (!v || v.spec.kind === 'gang') return false;
-    // If what is served later could stop what is served first, two teams on a full fleet would stop each other's tasks
-    // for ever, and none would ever end.
-    if (servingRank(v, this.guaranteed) < servingRank(job, this.guaranteed)) return false;
+    // As in `servingOrder`: work within its guarantee goes before more urgent work beyond one. If each could stop the
+    // other, two teams on a full fleet would stop each other's tasks for ever, and none would ever end.
+    if (job.spec.priority > 0 && this.guaranteed.has(v) && !this.guaranteed.has(job)) return false;
     if (v.spec.priority > job.spec.priority) return true;
     return (
       this.guaranteed.has(job) &&
--- a/src/placement/rebalancer.ts
+++ b/src/placement/rebalancer.ts
@@ -104,8 +104,8 @@
   drain(machine: Machine, now: number): void {
     if (!machine.certain()) return;
     const leftMs = machine.noticeUntil === null ? Infinity : machine.noticeUntil - now;
+    const others = [...this.deps.table.all()];
     const taken = new Map<Machine, number>();
-    let others: Machine[] | null = null;
     let budget = this.deps.operator.drain_moves_per_round;
     for (const attempt of [...machine.attempts.values()]) {
       if (budget <= 0) return;
@@ -113,12 +113,11 @@
       if (!attempt.onMachine() || attempt.stop || attempt.open || !job) continue;
       const remaining = this.remainingMs(attempt, job, now);
       if (remaining !== null && remaining < leftMs * ENDS_IN_TIME) continue;
-      if (job.spec.kind === 'gang') {
-        if (this.deps.gangs.leaveMachine(attempt, job, leftMs / 1000, 'drained')) budget--;
-        continue;
-      }
-      others ??= [...this.deps.table.all()];
-      if (this.drainTask(attempt, job, leftMs / 1000, others, taken)) budget--;
+      const moved =
+        job.spec.kind === 'gang'
+          ? this.deps.gangs.leaveMachine(attempt, job, leftMs / 1000, 'drained')
+          : this.drainTask(attempt, job, leftMs / 1000, others, taken);
+      if (moved) budget--;
     }
   }
 
