Package duties: one holder for each duty, fencing tokens, durable intents

Need: renting, returning, reclaiming and cleaning up must each have exactly one doer with nobody watching. A controller that was frozen must not return a machine that is needed.

Change: packages/duties. Each duty is a record under the lease of a process, with a token that outlives it; a holder state machine with one function for every change; a guard that is the only way to act and that hands out the token; intents that are stored before anything is asked of a provider, are never withdrawn and are resolved by whoever holds the duty; a spread that does not flap; operators' hold and release. Records are checked by zod.

packages/state-access takes what rollout and duties both need of the state service out of packages/rollout. In packages/rollout, without a change of behaviour but for the order in which reasons are named (who has not announced itself first): one type for events before they are stamped, obstacles asked for once, fewer exports.

Unit tests of the packages pass (spread, records, levels, decisions).

--- /dev/null
+++ b/packages/duties/src/records.ts
@@ -0,0 +1,119 @@
+/** The records of duties in the state service, and the schemas that each is checked by where it enters. */
+import * as z from 'zod/mini';
+import { DUTIES, type Duty } from './duty.js';
+
+export const PREFIX = 'duties/';
+export const HOLDERS = `${PREFIX}holders/`;
+export const TOKENS = `${PREFIX}tokens/`;
+export const HOLDS = `${PREFIX}holds/`;
+export const MEMBERS = `${PREFIX}members/`;
+export const INTENTS = `${PREFIX}intents/`;
+
+/** Attached to the lease of the process that holds the duty. */
+export const holderKey = (duty: Duty): string => HOLDERS + duty;
+/** Attached to no lease: it must outlive every holder. */
+export const tokenKey = (duty: Duty): string => TOKENS + duty;
+/** Put there by an operator: while it exists nobody holds the duty. */
+export const holdKey = (duty: Duty): string => HOLDS + duty;
+/** Attached to the lease of the process that wrote it. */
+export const memberKey = (controller: string): string => MEMBERS + controller;
+export const intentKey = (id: string): string => INTENTS + id;
+
+/** The cloud's limits of one request. */
+export const MOST_RENTED = 50;
+export const MOST_DELETED = 100;
+const MOST_CHARACTERS = 200;
+
+const name = z.string().check(z.minLength(1), z.maxLength(MOST_CHARACTERS));
+const duty = z.enum(DUTIES);
+const token = z.int().check(z.gte(1));
+const machines = (most: number) => z.array(name).check(z.maxLength(most));
+
+const holderSchema = z.object({ controller: name, process: name, token });
+
+const tokenSchema = z.object({
+  token,
+  controller: name,
+  /** By the holder's time of day: shown to operators, nothing rests on it. */
+  sinceMs: z.number(),
+});
+
+const holdSchema = z.object({ by: name, sinceMs: z.number() });
+
+const memberSchema = z.object({
+  process: name,
+  /** The duties that it may hold. */
+  duties: z.array(duty),
+});
+
+const rentSchema = z.object({
+  kind: z.literal('rent'),
+  type: name,
+  zone: name,
+  spot: z.boolean(),
+  count: z.int().check(z.gte(1), z.lte(MOST_RENTED)),
+});
+
+const deleteSchema = z.object({
+  kind: z.literal('delete'),
+  machines: machines(MOST_DELETED).check(z.minLength(1)),
+});
+
+const outcomeSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('rented'), machines: machines(MOST_RENTED) }),
+  z.object({ kind: z.literal('no-capacity') }),
+  z.object({ kind: z.literal('deleted') }),
+]);
+
+const intentSchema = z
+  .object({
+    id: name,
+    duty,
+    action: z.discriminatedUnion('kind', [rentSchema, deleteSchema]),
+    /** By the opener's time of day: shown to operators, nothing rests on it. */
+    openedMs: z.number(),
+    /** Null while it is open. */
+    outcome: z.nullable(outcomeSchema),
+    /** The token that it was resolved under. */
+    token: z.nullable(token),
+  })
+  .check(
+    z.refine((intent) => fits(intent.duty, intent.action.kind), { error: 'action does not fit duty' }),
+    z.refine(({ outcome, token: by }) => (outcome === null) === (by === null), {
+      error: 'outcome and token go together',
+    }),
+  );
+
+function fits(of: Duty, action: 'rent' | 'delete'): boolean {
+  return action === 'rent' ? of === 'rent' : of === 'return' || of === 'reclaim';
+}
+
+/** Who holds a duty. The version of the record guards every write that the holder makes as such. */
+export type HolderRecord = z.infer<typeof holderSchema>;
+/** The token given last: it only ever rises. */
+export type TokenRecord = z.infer<typeof tokenSchema>;
+/** An operator keeps everyone from holding the duty. */
+export type HoldRecord = z.infer<typeof holdSchema>;
+/** A controller process that takes part. */
+export type MemberRecord = z.infer<typeof memberSchema>;
+/** An action on machines, stored before the first request that performs it, and never withdrawn. */
+export type Intent = z.infer<typeof intentSchema>;
+export type IntentAction = Intent['action'];
+export type RentAction = Extract<IntentAction, { kind: 'rent' }>;
+export type DeleteAction = Extract<IntentAction, { kind: 'delete' }>;
+export type Outcome = NonNullable<Intent['outcome']>;
+
+export type Parsed<T> = { kind: 'valid'; value: T } | { kind: 'invalid'; reason: string };
+
+function parse<T>(schema: z.ZodMiniType<T>, value: unknown): Parsed<T> {
+  const result = schema.safeParse(value);
+  if (result.success) return { kind: 'valid', value: result.data };
+  const issue = result.error.issues[0];
+  return { kind: 'invalid', reason: `${issue.path.join('.') || 'record'}: ${issue.message}` };
+}
+
+export const readHolder = (value: unknown): Parsed<HolderRecord> => parse(holderSchema, value);
+export const readToken = (value: unknown): Parsed<TokenRecord> => parse(tokenSchema, value);
+export const readHold = (value: unknown): Parsed<HoldRecord> => parse(holdSchema, value);
+export const readMember = (value: unknown): Parsed<MemberRecord> => parse(memberSchema, value);
+export const readIntent = (value: unknown): Parsed<Intent> => parse(intentSchema, value);
--- /dev/null
+++ b/packages/duties/src/spread.ts
@@ -0,0 +1,70 @@
+/** Which controller should hold which duty: pure, and without flapping. */
+import { DUTIES, type Duty } from './duty.js';
+
+export interface MemberView {
+  name: string;
+  /** It has been there for long enough to be relied on. */
+  settled: boolean;
+  isLeader: boolean;
+  /** The duties that it may hold. */
+  duties: readonly Duty[];
+  /** Duties that it holds. */
+  holds: number;
+}
+
+/** The leader has other work, as much as this many duties. */
+const LEADER_LOAD = 2;
+/** A later candidate gives an earlier one the time to acquire a duty first. */
+const RANK_MS = 400;
+/** Moving a duty costs a pause, so it must make the spread better by more than one duty. */
+const LEAST_GAIN = 2;
+
+function loadOf(member: MemberView): number {
+  return member.holds + (member.isLeader ? LEADER_LOAD : 0);
+}
+
+/** Settled members first, then the least loaded ones; equals in an order that differs from duty to duty. */
+function candidates(duty: Duty, members: readonly MemberView[]): MemberView[] {
+  const turn = DUTIES.indexOf(duty);
+  const able = members.filter((member) => member.duties.includes(duty));
+  const names = able.map((member) => member.name).sort();
+  const place = (member: MemberView): number => (names.indexOf(member.name) + turn) % names.length;
+  return able.sort(
+    (a, b) => Number(b.settled) - Number(a.settled) || loadOf(a) - loadOf(b) || place(a) - place(b),
+  );
+}
+
+/**
+ * How long a controller waits from a vacancy on before it acquires the duty. All members may see a vacancy at once;
+ * those that are less suited come later, and find it taken. One that is not settled also waits `settleMs`, unless
+ * nobody is settled.
+ */
+export function acquisitionDelayMs(
+  duty: Duty,
+  self: string,
+  members: readonly MemberView[],
+  settleMs: number,
+): number {
+  const ranked = candidates(duty, members);
+  const rank = ranked.findIndex((member) => member.name === self);
+  const own = ranked.at(rank);
+  if (rank < 0 || !own) return settleMs;
+  const anySettled = ranked.some((member) => member.settled);
+  return rank * RANK_MS + (own.settled || !anySettled ? 0 : settleMs);
+}
+
+/** A duty that `self` should hand over for the sake of an even spread, or null. */
+export function dutyToHandOver(
+  self: string,
+  held: readonly Duty[],
+  members: readonly MemberView[],
+): Duty | null {
+  const own = members.find((member) => member.name === self);
+  if (!own || held.length === 0) return null;
+  const others = members.filter((member) => member.name !== self && member.settled);
+  for (const duty of held) {
+    const able = others.filter((member) => member.duties.includes(duty));
+    if (loadOf(own) - Math.min(...able.map(loadOf)) >= LEAST_GAIN) return duty;
+  }
+  return null;
+}
--- /dev/null
+++ b/packages/duties/src/view.ts
@@ -0,0 +1,171 @@
+/** What is stored about duties, as a scan and the changes since then tell. Malformed records are never acted on. */
+import type { Environment, Pair, WatchEvent } from '@millring/state-access';
+import { type Duty, isDuty } from './duty.js';
+import {
+  HOLDERS,
+  HOLDS,
+  type HolderRecord,
+  type HoldRecord,
+  INTENTS,
+  type Intent,
+  MEMBERS,
+  type MemberRecord,
+  type Parsed,
+  TOKENS,
+  type TokenRecord,
+  readHold,
+  readHolder,
+  readIntent,
+  readMember,
+  readToken,
+} from './records.js';
+
+export interface Versioned<T> {
+  value: T;
+  version: number;
+}
+
+/** `unreadable`: something stands there that this build does not understand, and must not replace. */
+export type Entry<T> =
+  { kind: 'absent' } | { kind: 'unreadable'; version: number } | ({ kind: 'present' } & Versioned<T>);
+
+const ABSENT = { kind: 'absent' } as const;
+
+/** The records of one kind, by the end of their keys. */
+class Section<T> {
+  private readonly entries = new Map<string, Entry<T>>();
+
+  constructor(
+    readonly prefix: string,
+    private readonly read: (value: unknown) => Parsed<T>,
+  ) {}
+
+  get(name: string): Entry<T> {
+    return this.entries.get(name) ?? ABSENT;
+  }
+
+  *present(): Iterable<[string, Versioned<T>]> {
+    for (const [name, entry] of this.entries) if (entry.kind === 'present') yield [name, entry];
+  }
+
+  unreadable(): string[] {
+    return [...this.entries].filter(([, entry]) => entry.kind === 'unreadable').map(([name]) => name);
+  }
+
+  /** Null, or why the record is not understood. */
+  put(name: string, value: unknown, version: number): string | null {
+    const parsed = this.read(value);
+    if (parsed.kind === 'valid') {
+      this.entries.set(name, { kind: 'present', value: parsed.value, version });
+      return null;
+    }
+    this.entries.set(name, { kind: 'unreadable', version });
+    return parsed.reason;
+  }
+
+  remove(name: string): void {
+    this.entries.delete(name);
+  }
+
+  clear(): void {
+    this.entries.clear();
+  }
+}
+
+export class DutiesView {
+  private readonly holderSection = new Section<HolderRecord>(HOLDERS, readHolder);
+  private readonly tokenSection = new Section<TokenRecord>(TOKENS, readToken);
+  private readonly holdSection = new Section<HoldRecord>(HOLDS, readHold);
+  private readonly memberSection = new Section<MemberRecord>(MEMBERS, readMember);
+  private readonly intentSection = new Section<Intent>(INTENTS, readIntent);
+  private readonly sections = [
+    this.holderSection,
+    this.tokenSection,
+    this.holdSection,
+    this.memberSection,
+    this.intentSection,
+  ];
+  private readonly logged = new Set<string>();
+  private revision = -1;
+
+  constructor(private readonly log: Pick<Environment['log'], 'error'>) {}
+
+  /** Everything up to this revision is in; -1 before the first scan. */
+  knownRevision(): number {
+    return this.revision;
+  }
+
+  holder(duty: Duty): Entry<HolderRecord> {
+    return this.holderSection.get(duty);
+  }
+
+  token(duty: Duty): Entry<TokenRecord> {
+    return this.tokenSection.get(duty);
+  }
+
+  hold(duty: Duty): Entry<HoldRecord> {
+    return this.holdSection.get(duty);
+  }
+
+  members(): Iterable<[string, Versioned<MemberRecord>]> {
+    return this.memberSection.present();
+  }
+
+  intent(id: string): Entry<Intent> {
+    return this.intentSection.get(id);
+  }
+
+  /** In the order in which they came to be known. */
+  intents(): Iterable<[string, Versioned<Intent>]> {
+    return this.intentSection.present();
+  }
+
+  /** Keys of records that this build does not understand. */
+  unreadable(): string[] {
+    return this.sections.flatMap((section) => section.unreadable().map((name) => section.prefix + name));
+  }
+
+  /** Replaces all that was known. */
+  load(pairs: Iterable<Pair>, revision: number): void {
+    for (const section of this.sections) section.clear();
+    for (const { key, value, version } of pairs) this.put(key, value, version);
+    this.revision = revision;
+  }
+
+  apply(events: Iterable<WatchEvent>, revision: number): void {
+    for (const { key, value, version, gone } of events) {
+      if (gone) this.remove(key);
+      else this.put(key, value, version);
+    }
+    this.revision = Math.max(this.revision, revision);
+  }
+
+  private sectionOf(key: string): Section<unknown> | undefined {
+    return this.sections.find((section) => key.startsWith(section.prefix));
+  }
+
+  private put(key: string, value: unknown, version: number): void {
+    const section = this.sectionOf(key);
+    const name = section ? key.slice(section.prefix.length) : key;
+    const reason = section ? section.put(name, value, version) : 'unknown kind of record';
+    if (reason !== null) this.logOnce(key, version, reason);
+    else if (section && this.isMisplaced(section, name)) this.logOnce(key, version, 'unknown duty');
+  }
+
+  private isMisplaced(section: Section<unknown>, name: string): boolean {
+    const ofDuties: unknown[] = [this.holderSection, this.tokenSection, this.holdSection];
+    return ofDuties.includes(section) && !isDuty(name);
+  }
+
+  private remove(key: string): void {
+    const section = this.sectionOf(key);
+    section?.remove(key.slice(section.prefix.length));
+  }
+
+  private logOnce(key: string, version: number, reason: string): void {
+    const subject = `${key}@${version}`;
+    if (this.logged.has(subject)) return;
+    this.logged.add(subject);
+    this.log.error({ key, reason }, 'record of duties is not acted on');
+  }
+}
--- /dev/null
+++ b/packages/duties/test/records.test.ts
@@ -0,0 +1,67 @@
+/** What is taken for a record, and what is left alone. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { mayFollow, type HolderState } from '../src/holder-state.js';
+import { type Intent, MOST_DELETED, readHolder, readIntent, readToken } from '../src/records.js';
+import { DutiesView } from '../src/view.js';
+
+const INTENT: Intent = {
+  id: 'i-1',
+  duty: 'return',
+  action: { kind: 'delete', machines: ['m-1'] },
+  openedMs: 1,
+  outcome: null,
+  token: null,
+};
+
+test('intents: each field is checked, and the action has to fit the duty', () => {
+  assert.equal(readIntent(INTENT).kind, 'valid');
+  const wrong: object[] = [
+    { duty: 'dance' },
+    { duty: 'rent' },
+    { action: { kind: 'burn', machines: ['m-1'] } },
+    { action: { kind: 'delete', machines: [] } },
+    { action: { kind: 'delete', machines: Array.from({ length: MOST_DELETED + 1 }, (_, i) => `m-${i}`) } },
+    { action: { kind: 'rent', type: 't', zone: 'a', spot: false, count: 1 } },
+    { outcome: { kind: 'deleted' } },
+    { token: 3 },
+    { id: '' },
+  ];
+  for (const over of wrong)
+    assert.equal(readIntent({ ...INTENT, ...over }).kind, 'invalid', JSON.stringify(over));
+  assert.equal(readIntent({ ...INTENT, outcome: { kind: 'deleted' }, token: 3 }).kind, 'valid');
+});
+
+test('tokens are whole numbers from 1 on', () => {
+  const holder = { controller: 'n0', process: 'p', token: 1 };
+  assert.equal(readHolder(holder).kind, 'valid');
+  for (const token of [0, -1, 1.5, '1', null]) {
+    assert.equal(readHolder({ ...holder, token }).kind, 'invalid');
+    assert.equal(readToken({ token, controller: 'n0', sinceMs: 0 }).kind, 'invalid');
+  }
+});
+
+test('a view keeps what it does not understand apart, and forgets it once it is gone', () => {
+  const told: object[] = [];
+  const view = new DutiesView({ error: (fields) => told.push(fields) });
+  view.load([{ key: 'duties/holders/rent', value: 7, version: 3 }], 3);
+  assert.deepEqual(view.holder('rent'), { kind: 'unreadable', version: 3 });
+  view.load([{ key: 'duties/holders/rent', value: 7, version: 3 }], 4);
+  assert.equal(told.length, 1);
+  assert.deepEqual(view.unreadable(), ['duties/holders/rent']);
+  view.apply([{ key: 'duties/holders/rent', value: null, version: 5, gone: true }], 5);
+  assert.deepEqual(view.holder('rent'), { kind: 'absent' });
+  assert.equal(view.knownRevision(), 5);
+});
+
+test('a duty that was lost or suspended is never acted on without being acquired or confirmed again', () => {
+  const forbidden: [HolderState, HolderState][] = [
+    ['vacant', 'held'],
+    ['lost', 'held'],
+    ['lost', 'acquiring'],
+    ['releasing', 'held'],
+    ['acquiring', 'suspended'],
+  ];
+  for (const [from, to] of forbidden) assert.equal(mayFollow(from, to), false, `${from} -> ${to}`);
+  assert.ok(mayFollow('suspended', 'held') && mayFollow('suspended', 'lost'));
+});
--- /dev/null
+++ b/packages/duties/test/spread.test.ts
@@ -0,0 +1,75 @@
+/** Which controller takes or gives up which duty. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DUTIES, type Duty } from '../src/duty.js';
+import { type MemberView, acquisitionDelayMs, dutyToHandOver } from '../src/spread.js';
+
+const SETTLE_MS = 10_000;
+
+function member(name: string, over: Partial<MemberView> = {}): MemberView {
+  return { name, settled: true, isLeader: false, duties: DUTIES, holds: 0, ...over };
+}
+
+function ranking(duty: Duty, members: MemberView[]): string[] {
+  const delays = members.map(({ name }) => ({
+    name,
+    ms: acquisitionDelayMs(duty, name, members, SETTLE_MS),
+  }));
+  return delays.sort((a, b) => a.ms - b.ms).map(({ name }) => name);
+}
+
+test('no two controllers acquire a duty at the same time, and not all duties go to the same one', () => {
+  const members = [member('n0'), member('n1'), member('n2')];
+  for (const duty of DUTIES) {
+    const delays = members.map(({ name }) => acquisitionDelayMs(duty, name, members, SETTLE_MS));
+    assert.equal(new Set(delays).size, members.length);
+  }
+  assert.ok(new Set(DUTIES.map((duty) => ranking(duty, members)[0])).size > 1);
+});
+
+test('the least loaded goes first, the leader counts as loaded, and who is not settled comes last', () => {
+  const members = [
+    member('leader', { isLeader: true }),
+    member('new', { settled: false }),
+    member('busy', { holds: 3 }),
+    member('idle'),
+  ];
+  assert.deepEqual(ranking('return', members), ['idle', 'leader', 'busy', 'new']);
+  assert.ok(acquisitionDelayMs('return', 'new', members, SETTLE_MS) > SETTLE_MS);
+});
+
+test('where nobody is settled nobody waits for that', () => {
+  const members = [member('n0', { settled: false }), member('n1', { settled: false })];
+  assert.ok(members.every(({ name }) => acquisitionDelayMs('rent', name, members, SETTLE_MS) < SETTLE_MS));
+});
+
+test('who may not hold a duty keeps nobody waiting, and gets none handed over', () => {
+  const members = [member('n0', { duties: [] }), member('n1', { holds: 4 })];
+  assert.equal(acquisitionDelayMs('rent', 'n1', members, SETTLE_MS), 0);
+  assert.equal(dutyToHandOver('n1', DUTIES, members), null);
+});
+
+test('a duty is handed over only where that makes the spread more even, so that it comes to rest', () => {
+  const holds = new Map([
+    ['n0', [...DUTIES]],
+    ['n1', []],
+    ['n2', []],
+  ] as [string, Duty[]][]);
+  const views = (): MemberView[] =>
+    [...holds].map(([name, duties]) => member(name, { holds: duties.length, isLeader: name === 'n2' }));
+  let moves = 0;
+  for (let round = 0; round < 20; round++)
+    for (const [name, held] of holds) {
+      const duty = dutyToHandOver(name, held, views());
+      if (duty === null) continue;
+      moves++;
+      held.splice(held.indexOf(duty), 1);
+      const others = views().filter((view) => view.name !== name);
+      holds.get(ranking(duty, others)[0])?.push(duty);
+    }
+  assert.deepEqual(
+    [...holds.values()].map(({ length }) => length),
+    [2, 2, 0],
+  );
+  assert.equal(moves, 2);
+});
--- a/packages/rollout/src/cluster-level.ts
+++ b/packages/rollout/src/cluster-level.ts
@@ -14,6 +14,13 @@
   | { type: 'release' }
 );
 
+/** An event as it is decided on: who and when are added where it is applied. */
+export type UnstampedEvent = LevelEvent extends infer E
+  ? E extends LevelEvent
+    ? Omit<E, 'by' | 'atMs'>
+    : never
+  : never;
+
 export type Advance = { kind: 'changed'; level: ClusterLevel } | { kind: 'refused'; reason: string };
 
 /** The level after the event, or why the event does not fit its state. */
--- a/packages/rollout/src/coordinator.ts
+++ b/packages/rollout/src/coordinator.ts
@@ -4,7 +4,7 @@
 import type { FeatureRegistry } from './levels.js';
 import { type ClusterLevel, LEVEL_KEY, PREFIX } from './records.js';
 import type { RolloutSettings } from './settings.js';
-import { type Environment, type Guard, type StateAccess, sleep } from './store.js';
+import { type Environment, type Guard, type StateAccess, sleep } from '@millring/state-access';
 import { type ClusterView, announcementGuards, obstacleToRaise, readView } from './view.js';
 
 export interface CoordinatorDependencies {
@@ -145,11 +145,7 @@
   }
 }
 
-export function logChange(
-  environment: Pick<Environment, 'log'>,
-  before: ClusterLevel,
-  after: ClusterLevel,
-): void {
+function logChange(environment: Pick<Environment, 'log'>, before: ClusterLevel, after: ClusterLevel): void {
   const { state, active, target, reason, changedBy } = after;
   environment.log.info(
     { from: before.state, to: state, active, target, reason, by: changedBy },
--- a/packages/rollout/src/decide.ts
+++ b/packages/rollout/src/decide.ts
@@ -1,5 +1,5 @@
 /** What the leader should do next about the cluster level: a pure function of what is known. */
-import type { LevelEvent } from './cluster-level.js';
+import type { LevelEvent, UnstampedEvent } from './cluster-level.js';
 import { type FeatureRegistry, canRaiseTo, canRead } from './levels.js';
 import type { RolloutSettings } from './settings.js';
 import {
@@ -78,10 +78,10 @@
 function decideRaising(situation: Situation): Decision {
   const { view } = situation;
   const target = view.level.target ?? view.level.active;
+  const waitingFor = unacknowledged(view);
   const reason =
-    incapable(view, target, canRaiseTo) ?? endingAgain(situation) ?? stalled(situation, unacknowledged(view));
+    incapable(view, target, canRaiseTo) ?? endingAgain(situation) ?? stalled(situation, waitingFor);
   if (reason !== null) return onward(situation, { type: 'abort', reason, builds: buildsOf(view) }, false);
-  const waitingFor = unacknowledged(view);
   if (waitingFor !== null) return wait(waitingFor);
   return onward(situation, { type: 'acknowledged' }, true);
 }
@@ -131,10 +131,8 @@
   return null;
 }
 
-type Happening = LevelEvent extends infer E ? (E extends LevelEvent ? Omit<E, 'by' | 'atMs'> : never) : never;
-
-function onward({ by, wallMs }: Situation, happening: Happening, restsOnAll: boolean): Decision {
-  return { kind: 'advance', event: { ...happening, by, atMs: wallMs }, restsOnAll };
+function onward({ by, wallMs }: Situation, event: UnstampedEvent, restsOnAll: boolean): Decision {
+  return { kind: 'advance', event: { ...event, by, atMs: wallMs }, restsOnAll };
 }
 
 function wait(reason: string): Decision {
--- a/packages/rollout/src/index.ts
+++ b/packages/rollout/src/index.ts
@@ -12,5 +12,4 @@
 export { type ParticipantDependencies, type ParticipantState, RolloutParticipant } from './participant.js';
 export { type ClusterLevel, LEVEL_KEY } from './records.js';
 export { type RolloutSettings } from './settings.js';
-export type { Environment, StateAccess } from './store.js';
 export { type ClusterView, type ControllerView } from './view.js';
--- a/packages/rollout/src/operator.ts
+++ b/packages/rollout/src/operator.ts
@@ -1,10 +1,10 @@
 /** What operators do to the cluster level, with or without a leader: guarded writes like any other. */
-import { type LevelEvent, advance } from './cluster-level.js';
+import { type LevelEvent, type UnstampedEvent, advance } from './cluster-level.js';
 import { obstacleToPropose } from './decide.js';
 import { type FeatureRegistry, canRead } from './levels.js';
 import { type ClusterLevel, LEVEL_KEY, PREFIX, readClusterLevel } from './records.js';
 import type { RolloutSettings } from './settings.js';
-import type { Guard, StateAccess } from './store.js';
+import type { Guard, StateAccess } from '@millring/state-access';
 import { type ClusterView, announcementGuards, incapable, readView, startOf, buildsOf } from './view.js';
 
 export interface OperatorDependencies {
@@ -46,8 +46,7 @@
 
   /** Begins to raise the level by one. */
   activate(): Promise<OperatorResult> {
-    return this.change((view) => {
-      const obstacle = obstacleToPropose(view, this.deps.registry, this.deps.settings);
+    return this.change((view, obstacle) => {
       if (obstacle !== null) return { kind: 'refused', reason: obstacle };
       return this.event({ type: 'propose', startedWith: startOf(view) }, true);
     });
@@ -73,16 +72,18 @@
     });
   }
 
-  private event(event: OperatorEvent, restsOnAll: boolean): Request {
+  private event(event: UnstampedEvent, restsOnAll: boolean): Request {
     const atMs = this.deps.wallMs();
     return { kind: 'event', event: { ...event, by: this.deps.by, atMs }, restsOnAll };
   }
 
-  private async change(request: (view: ClusterView) => Request): Promise<OperatorResult> {
+  private async change(
+    request: (view: ClusterView, obstacle: string | null) => Request,
+  ): Promise<OperatorResult> {
     const status = await this.status();
     if (status.kind !== 'status') return status;
     const { view } = status;
-    const asked = request(view);
+    const asked = request(view, status.obstacle);
     if (asked.kind === 'refused') return asked;
     const next = advance(view.level, asked.event);
     if (next.kind === 'refused') return next;
@@ -117,10 +118,3 @@
     return isOurs ? { kind: 'done', level } : { kind: 'unreachable' };
   }
 }
-
-type OperatorEvent =
-  Extract<LevelEvent, { type: 'propose' | 'abort' | 'lower' }> extends infer E
-    ? E extends LevelEvent
-      ? Omit<E, 'by' | 'atMs'>
-      : never
-    : never;
--- a/packages/rollout/src/participant.ts
+++ b/packages/rollout/src/participant.ts
@@ -16,7 +16,13 @@
   readIncarnation,
 } from './records.js';
 import type { RolloutSettings } from './settings.js';
-import { type Environment, type Guard, type StateAccess, type WatchEvent, sleep } from './store.js';
+import {
+  type Environment,
+  type Guard,
+  type StateAccess,
+  type WatchEvent,
+  sleep,
+} from '@millring/state-access';
 
 export interface ParticipantDependencies {
   environment: Environment;
@@ -110,7 +116,8 @@
     void this.keepAnnounced();
   }
 
-  private isOutside(): boolean {
+  /** The rollout is off and was never on here. */
+  isOutside(): boolean {
     return this.state === 'outside';
   }
 
--- a/packages/rollout/src/view.ts
+++ b/packages/rollout/src/view.ts
@@ -13,7 +13,7 @@
   readClusterLevel,
   readIncarnation,
 } from './records.js';
-import type { Guard, Pair } from './store.js';
+import type { Guard, Pair } from '@millring/state-access';
 
 export type ControllerView =
   | { kind: 'announced'; announcement: Announcement; version: number }
@@ -97,11 +97,13 @@
 
 /** The first reason why the level can't be raised to `target` with these controllers, or null. */
 export function obstacleToRaise(view: ClusterView, target: number): string | null {
-  for (const [controller, state] of view.controllers) {
+  return missing(view) ?? incapable(view, target, canRaiseTo);
+}
+
+/** The first controller that has not announced itself, or null. */
+function missing(view: ClusterView): string | null {
+  for (const [controller, state] of view.controllers)
     if (state.kind === 'missing') return `${controller} ${state.reason}`;
-    const { build } = state.announcement;
-    if (!canRaiseTo(build, target)) return `${controller} runs ${describeBuild(build)}`;
-  }
   return null;
 }
 
@@ -119,11 +121,10 @@
 
 /** The first controller that has not taken in the latest change, or null. */
 export function unacknowledged(view: ClusterView): string | null {
-  for (const [controller, state] of view.controllers) {
-    if (state.kind === 'missing') return `${controller} ${state.reason}`;
-    if (state.announcement.acknowledged !== view.level.change) return `${controller} has not confirmed yet`;
-  }
-  return null;
+  const isBehind = (state: ControllerView): boolean =>
+    state.kind === 'announced' && state.announcement.acknowledged !== view.level.change;
+  const behind = [...view.controllers].find(([, state]) => isBehind(state));
+  return missing(view) ?? (behind ? `${behind[0]} has not confirmed yet` : null);
 }
 
 /** The builds of the controllers that have announced themselves. */
--- a/packages/rollout/test/decide.test.ts
+++ b/packages/rollout/test/decide.test.ts
@@ -13,7 +13,7 @@
   incarnationKey,
 } from '../src/records.js';
 import type { RolloutSettings } from '../src/settings.js';
-import type { Pair } from '../src/store.js';
+import type { Pair } from '@millring/state-access';
 import { type ClusterView, readView } from '../src/view.js';
 
 const NAMES = ['n0', 'n1', 'n2'];
--- a/packages/rollout/src/store.ts
+++ b/packages/state-access/src/index.ts
@@ -1,6 +1,6 @@
 /**
- * What the rollout needs of the state service: linearizable reads, guarded atomic writes, leases and watches.
- * The caller's client is passed in; this package opens no connection of its own.
+ * What packages need of the state service: linearizable reads, guarded atomic writes, leases and watches. The
+ * program's own client is passed in; packages open no connection themselves.
  */
 
 /** The transaction is applied only if the key has this version; 0: the key does not exist. */
@@ -40,7 +40,7 @@
 export type WatchResult =
   { kind: 'news'; revision: number; news: WatchEvent[] } | { kind: 'too-old' } | { kind: 'refused' };
 
-/** The state service, as far as the rollout uses it. */
+/** A client of the state service. */
 export interface StateAccess {
   get(key: string): Promise<ReadResult>;
   scan(prefix: string): Promise<{ pairs: Pair[]; revision: number } | null>;
