--- a/packages/duties/src/holder.ts
+++ b/packages/duties/src/holder.ts
@@ -4,7 +4,7 @@
 import { type HolderState, mayFollow } from './holder-state.js';
 import type { Membership } from './membership.js';
 import { Permit, StaleTokenError } from './permit.js';
-import { type HolderRecord, holdKey, holderKey, readHolder, tokenKey } from './records.js';
+import { type HolderRecord, holdKey, holderKey, tokenKey } from './records.js';
 import type { DutiesView } from './view.js';
 
 export interface HolderDependencies {
@@ -179,23 +179,11 @@
         { put: holderKey(this.duty), value: holder, lease },
       ],
     );
-    if (result.kind === 'applied') return result.revision;
-    return result.kind === 'unknown' ? this.claimedVersion(holder) : null;
+    // Without an answer the claim may stand, or come to stand: see `releaseStray`.
+    return result.kind === 'applied' ? result.revision : null;
   }
 
-  /** The answer was lost. If the claim is applied later still, the record is found standing by `releaseStray`. */
-  private async claimedVersion(holder: HolderRecord): Promise<number | null> {
-    const read = await this.deps.store.get(holderKey(this.duty));
-    if (read.kind !== 'found') return null;
-    const stored = readHolder(read.pair.value);
-    const isOurs =
-      stored.kind === 'valid' &&
-      stored.value.process === holder.process &&
-      stored.value.token === holder.token;
-    return isOurs ? read.pair.version : null;
-  }
-
-  /** A claim of this very process that was applied after it was given up: nobody acts on it, so it is removed. */
+  /** A claim of this very process whose answer was lost: nobody acts on it, so it is removed. */
   async releaseStray(): Promise<void> {
     const { environment, process, store, view } = this.deps;
     const entry = view.holder(this.duty);
--- a/packages/duties/src/member.ts
+++ b/packages/duties/src/member.ts
@@ -1,5 +1,5 @@
 /** A controller process as a member of those that share the duties: follows the records, acquires, acts, hands over. */
-import { type Environment, type StateAccess, sleep } from '@millring/state-access';
+import { type Environment, type StateAccess, type WatchResult, sleep } from '@millring/state-access';
 import { IntentCleaner } from './cleaner.js';
 import { DUTIES, type Duty } from './duty.js';
 import { IntentExecutor } from './executor.js';
@@ -160,13 +160,19 @@
         continue;
       }
       const answer = await store.watch(PREFIX, this.view.knownRevision(), WATCH_MS);
-      if (answer.kind === 'news') this.view.apply(answer.news, answer.revision);
+      if (answer.kind === 'news') this.apply(answer);
       else if (answer.kind === 'too-old') await this.reload();
       else await sleep(environment, RETRY_MS * (1 + environment.random()));
     }
     this.follows = false;
   }
 
+  /** What is new is acted on at once. */
+  private apply(answer: Extract<WatchResult, { kind: 'news' }>): void {
+    this.view.apply(answer.news, answer.revision);
+    if (!this.stopped && this.deps.mayHold()) this.takePart();
+  }
+
   private async reload(): Promise<void> {
     const read = await this.deps.store.scan(PREFIX);
     if (read) this.view.load(read.pairs, read.revision);
--- a/src/build.ts
+++ b/src/build.ts
@@ -5,6 +5,9 @@
 /** Finished tasks of large jobs in compressed segments, see `jobs/finished-records.ts`. */
 export const COMPACT_FINISHED_TASKS = 'compact-finished-tasks';
 
+/** Machines are rented and deleted by the holders of duties, as stored intents say: see docs/duties.md. */
+export const FENCED_DUTIES = 'fenced-duties';
+
 export const FEATURES = new FeatureRegistry([
   {
     name: COMPACT_FINISHED_TASKS,
@@ -14,6 +17,18 @@
     withoutGate: 'harmless',
     reversible: true,
   },
+  {
+    name: FENCED_DUTIES,
+    level: 3,
+    covers: {
+      records: ['duties/intents/ID'],
+      messages: [],
+      decisions: ['machines with an open intent to delete them take no work'],
+    },
+    // It would start work on machines that are about to be deleted.
+    withoutGate: 'unsafe',
+    reversible: true,
+  },
 ]);
 
-export const BUILD: Build = { version: manifest.version, reads: { from: 1, to: 2 }, writes: 2 };
+export const BUILD: Build = { version: manifest.version, reads: { from: 1, to: 3 }, writes: 3 };
--- /dev/null
+++ b/src/duties/cloud-provider.ts
@@ -0,0 +1,32 @@
+/**
+ * The cloud as a machine provider. It knows no tokens, and may execute a request late: that is harmless because of the
+ * intent that was stored before the request, see docs/safety.md.
+ */
+import type { DeleteResult, MachineProvider, Permit, RentAction, RentResult } from '@millring/duties';
+import type { Cloud } from '../fleet/cloud.js';
+
+export class CloudProvider implements MachineProvider {
+  constructor(private readonly cloud: Cloud) {}
+
+  mayCall(): boolean {
+    return this.cloud.room();
+  }
+
+  async rent(_permit: Permit, request: string, action: RentAction): Promise<RentResult> {
+    const { type, zone, spot, count } = action;
+    const result = await this.cloud.rent(request, type, zone, spot, count);
+    switch (result.kind) {
+      case 'rented':
+        return { kind: 'rented', machines: result.ids };
+      case 'no-capacity':
+        return result;
+      case 'unknown':
+      case 'refused':
+        return { kind: 'unavailable' };
+    }
+  }
+
+  async delete(_permit: Permit, machines: readonly string[]): Promise<DeleteResult> {
+    return { kind: (await this.cloud.delete([...machines])) ? 'deleted' : 'unavailable' };
+  }
+}
--- /dev/null
+++ b/src/duties/command-line.ts
@@ -0,0 +1,85 @@
+/** `millring duties ...`: what operators see of the duties and do about them. */
+import {
+  type Duty,
+  DutyOperator,
+  type DutyResult,
+  type DutyStatus,
+  type DutyStatusResult,
+} from '@millring/duties';
+import {
+  type CommandOutcome,
+  EXIT_DONE,
+  EXIT_REFUSED,
+  EXIT_UNREACHABLE,
+  UNREACHABLE_TEXT,
+} from '../command-outcome.js';
+import type { World } from '../runtime.js';
+import type { PlatformSettings } from '../settings/platform.js';
+import { stateStoreOf } from '../state-store/client.js';
+
+export type DutiesCommand =
+  { action: 'status'; json: boolean } | { action: 'release' | 'hold'; duty: Duty; json: boolean };
+
+export async function runDutiesCommand(
+  command: DutiesCommand,
+  world: World,
+  settings: PlatformSettings,
+  wallMs: () => number,
+): Promise<CommandOutcome> {
+  const operator = new DutyOperator({
+    store: stateStoreOf(world, settings),
+    by: `operator-${wallMs()}-${Math.floor(world.random() * 1e9)}`,
+    wallMs,
+  });
+  const result =
+    command.action === 'status' ? await operator.status() : await operator[command.action](command.duty);
+  const text = command.json ? JSON.stringify(result) : asText(result, wallMs());
+  return { exitCode: exitCodeOf(result), text };
+}
+
+type Result = DutyResult | DutyStatusResult;
+
+function exitCodeOf(result: Result): number {
+  switch (result.kind) {
+    case 'done':
+    case 'status':
+      return EXIT_DONE;
+    case 'refused':
+      return EXIT_REFUSED;
+    case 'unreachable':
+      return EXIT_UNREACHABLE;
+  }
+}
+
+function asText(result: Result, nowMs: number): string {
+  switch (result.kind) {
+    case 'done':
+      return result.text;
+    case 'refused':
+      return `refused: ${result.reason}`;
+    case 'unreachable':
+      return UNREACHABLE_TEXT;
+    case 'status':
+      return statusText(result, nowMs);
+  }
+}
+
+function statusText(
+  { duties, members, unreadable }: Extract<Result, { kind: 'status' }>,
+  nowMs: number,
+): string {
+  const lines = duties.map((status) => dutyText(status, nowMs));
+  lines.push(members.length > 0 ? `members: ${members.join(', ')}` : 'no controller takes part');
+  for (const key of unreadable) lines.push(`${key}: can't be read, and is not acted on`);
+  return lines.join('\n');
+}
+
+function dutyText(
+  { duty, holder, hold, token, openIntents, oldestOpenedMs }: DutyStatus,
+  nowMs: number,
+): string {
+  const who = hold ? `on hold by ${hold.by}` : holder ? `held by ${holder.controller}` : 'vacant';
+  const ageS = oldestOpenedMs === null ? 0 : Math.max(0, Math.round((nowMs - oldestOpenedMs) / 1000));
+  const open = openIntents > 0 ? `, ${openIntents} open, the oldest for ${ageS} s` : '';
+  return `${duty}: ${who}, token ${token}${open}`;
+}
--- /dev/null
+++ b/src/duties/controller-duties.ts
@@ -0,0 +1,98 @@
+/** The duties as one controller process takes part in them: as a member always, and as the decider while it leads. */
+import { DutyMember, type DutySettings, IntentLog } from '@millring/duties';
+import { FENCED_DUTIES } from '../build.js';
+import { Cloud } from '../fleet/cloud.js';
+import type { ControllerRollout } from '../rollout/controller-rollout.js';
+import type { World } from '../runtime.js';
+import type { OperatorSettings } from '../settings/operator.js';
+import type { PlatformSettings } from '../settings/platform.js';
+import type { StateStore } from '../state-store/client.js';
+import type { Guard } from '../wire/state.js';
+import { CloudProvider } from './cloud-provider.js';
+
+/** Of the cloud's calls, shared by the holders at all controllers: the leader's lists need the rest. */
+const HOLDERS_SHARE = 0.9;
+
+export interface ControllerDutiesDependencies {
+  world: World;
+  settings: PlatformSettings;
+  operator: OperatorSettings;
+  store: StateStore;
+  rollout: ControllerRollout;
+  /** Tells this process apart from all others of this controller. */
+  process: string;
+  wallMs(): number;
+  leader(): string | null;
+}
+
+/** What decides, for the time of one claim. */
+export interface DecidingTerm {
+  /** The claim still stands, though it may be paused. */
+  active(): boolean;
+  leaderGuard(): Guard;
+  /** Unique for ever: no name is used twice, by any node. */
+  requestName(): string;
+}
+
+export class ControllerDuties {
+  private readonly member: DutyMember;
+
+  constructor(private readonly deps: ControllerDutiesDependencies) {
+    const { world, settings, operator, store, rollout, process } = deps;
+    const callsPerS = (settings.cloudRps * HOLDERS_SHARE) / settings.nodes;
+    this.member = new DutyMember({
+      environment: this.environment(),
+      store,
+      self: settings.node,
+      process,
+      settings: holdingSettings(operator.duties),
+      provider: new CloudProvider(new Cloud(world, settings.cloud, callsPerS)),
+      txnOps: settings.txnOps,
+      mayHold: () => this.areKnown() && rollout.mayServe(),
+      leader: () => deps.leader(),
+    });
+  }
+
+  private environment(): ConstructorParameters<typeof IntentLog>[0]['environment'] {
+    const { world } = this.deps;
+    return {
+      clock: world.clock,
+      log: world.log,
+      wallMs: () => this.deps.wallMs(),
+      random: () => world.random(),
+    };
+  }
+
+  run(): void {
+    this.member.run();
+  }
+
+  /** Intents may stand in the records: whoever leads must read them before it decides anything. */
+  areKnown(): boolean {
+    return this.deps.rollout.mode(FENCED_DUTIES) !== 'off';
+  }
+
+  /** The leader's decisions become intents. */
+  usesIntents(): boolean {
+    return this.deps.operator.duties.mode === 'on' && this.deps.rollout.writeGuard(FENCED_DUTIES) !== null;
+  }
+
+  intentLog(term: DecidingTerm): IntentLog {
+    return new IntentLog({
+      environment: this.environment(),
+      store: this.deps.store,
+      view: this.member.view,
+      active: () => term.active(),
+      newId: () => term.requestName(),
+      guards: () => {
+        const levelGuard = this.deps.rollout.writeGuard(FENCED_DUTIES);
+        return levelGuard ? [term.leaderGuard(), levelGuard] : null;
+      },
+    });
+  }
+}
+
+/** A controller whose duties are off follows the records, since it may lead, but holds nothing. */
+function holdingSettings(settings: DutySettings): DutySettings {
+  return settings.mode === 'on' ? settings : { ...settings, held_here: [] };
+}
--- /dev/null
+++ b/src/duties/intent-actions.ts
@@ -0,0 +1,67 @@
+/** The leader's decisions about machines as intents, which the holders of the duties carry out. */
+import type { IntentLog, Opened } from '@millring/duties';
+import type { RentResult } from '../fleet/cloud.js';
+import {
+  type DeletionPurpose,
+  type DirectActions,
+  MOST_DELETED,
+  type MachineActions,
+} from '../fleet/machine-actions.js';
+import type { Pool } from '../fleet/plan.js';
+
+/** What the record of an intent holds beside the names of machines. */
+const FRAME_BYTES = 320;
+/** Quotes and a comma. */
+const BYTES_PER_NAME = 3;
+
+export interface IntentActionsDependencies {
+  log: IntentLog;
+  /** While intents can't be used, the leader acts as before there were duties. */
+  direct: DirectActions;
+  /** All controllers that may lead can follow intents, and this one is set to use them. */
+  usesIntents(): boolean;
+  /** Most bytes of a value, counted as JSON. */
+  valueBytes: number;
+}
+
+export class IntentActions implements MachineActions {
+  constructor(private readonly deps: IntentActionsDependencies) {}
+
+  /** The holder has its own budget of the cloud's calls. */
+  mayBegin(): boolean {
+    return this.deps.usesIntents() || this.deps.direct.mayBegin();
+  }
+
+  async rent(pool: Pool, count: number): Promise<RentResult> {
+    if (!this.deps.usesIntents()) return this.deps.direct.rent(pool, count);
+    const { type, zone, spot } = pool;
+    return rentResult(await this.deps.log.open('rent', { kind: 'rent', type: type.name, zone, spot, count }));
+  }
+
+  async delete(ids: string[], purpose: DeletionPurpose): Promise<boolean> {
+    if (!this.deps.usesIntents()) return this.deps.direct.delete(ids);
+    const opened = await this.deps.log.open(purpose, { kind: 'delete', machines: ids });
+    return opened.kind === 'resolved' && opened.outcome.kind === 'deleted';
+  }
+
+  mostDeleted(ids: readonly string[]): number {
+    if (!this.deps.usesIntents()) return this.deps.direct.mostDeleted();
+    const longest = Math.max(1, ...ids.map((id) => id.length));
+    const fitting = Math.floor((this.deps.valueBytes - FRAME_BYTES) / (longest + BYTES_PER_NAME));
+    return Math.max(1, Math.min(MOST_DELETED, fitting));
+  }
+}
+
+/** What an intent to rent came to, in the terms of a request. */
+export function rentResult(opened: Opened): RentResult {
+  if (opened.kind === 'not-opened') return { kind: 'refused' };
+  if (opened.kind === 'unknown') return { kind: 'unknown' };
+  switch (opened.outcome.kind) {
+    case 'rented':
+      return { kind: 'rented', ids: opened.outcome.machines };
+    case 'no-capacity':
+      return { kind: 'no-capacity' };
+    case 'deleted':
+      return { kind: 'unknown' };
+  }
+}
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -4,22 +4,23 @@
 import type { MachineType } from '../wire/model.js';
 import type { Machine } from '../workers/machine.js';
 import type { MachineTable } from '../workers/machine-table.js';
-import type { Cloud } from './cloud.js';
+import type { Cloud, RentResult } from './cloud.js';
+import type { DeletionPurpose, MachineActions } from './machine-actions.js';
 import { type Demand, type Pool, planRentals, targets } from './plan.js';
 import { SilenceDetector } from './silence.js';
 import { markSurplus } from './surplus.js';
 
 export interface FleetDeps {
   world: World;
+  /** For its lists. */
   cloud: Cloud;
+  actions: MachineActions;
   table: MachineTable;
   operator: OperatorSettings;
   types: MachineType[];
   saveMoney: boolean;
   reportS: number;
   listLagS: number;
-  /** Unique for ever: no request name is used twice, by any node. */
-  requestName(): string;
   leads(): boolean;
   demand(): Demand;
   /** Zones that seem cut off from us: silence there proves nothing. */
@@ -104,7 +105,7 @@
     if (now - this.lastPlan < PLAN_MS) return;
     this.lastPlan = now;
     const dead = [...this.silence.deadMachines(now), ...this.neverUp(now)];
-    if (dead.length > 0) void this.remove(dead, 'silent or never up');
+    if (dead.length > 0) void this.remove(dead, 'reclaim', 'silent or never up');
     // A new leader does not know yet which zones are cut off: what it rented there would be missing elsewhere.
     const known = now - this.tookOverAt > FIRST_LOOK_MS || ![...this.deps.table.all()].some((m) => m.suspect);
     if (known) this.plan(now);
@@ -150,7 +151,7 @@
     // A long list takes seconds to read: its first page may tell of the time before that.
     for (const m of table.all())
       m.unlisted = m.listedAt !== t && now - (m.rentedAt ?? this.tookOverAt) > this.listAgeMs();
-    if (failed.length > 0) void this.remove(failed, 'failed');
+    if (failed.length > 0) void this.remove(failed, 'reclaim', 'failed');
   }
 
   /** No list is older than this. */
@@ -158,13 +159,20 @@
     return 2 * this.deps.listLagS * 1000 + 1000;
   }
 
-  async remove(machines: Machine[], why: string): Promise<void> {
-    const batch = machines.filter((m) => !m.deleting).slice(0, 100);
-    if (batch.length === 0 || !this.deps.cloud.room() || !this.deps.leads()) return;
+  async remove(machines: Machine[], purpose: DeletionPurpose, why: string): Promise<void> {
+    const { actions, world } = this.deps;
+    const left = machines.filter((m) => !m.deleting);
+    const batch = left.slice(0, actions.mostDeleted(left.map((m) => m.id)));
+    if (batch.length === 0 || !actions.mayBegin() || !this.deps.leads()) return;
+    const ids = batch.map((m) => m.id);
+    world.log.info({ ids, why }, 'deleting machines');
     for (const m of batch) m.deleting = true;
-    this.deps.world.log.info({ ids: batch.map((m) => m.id), why }, 'deleting machines');
-    const ok = await this.deps.cloud.delete(batch.map((m) => m.id));
-    for (const m of batch) {
+    await this.settleDeletion(batch, actions.delete(ids, purpose));
+  }
+
+  private async settleDeletion(machines: Machine[], done: Promise<boolean>): Promise<void> {
+    const ok = await done;
+    for (const m of machines) {
       m.deleting = false;
       if (!ok) continue;
       this.goneIds.add(m.id);
@@ -172,6 +180,30 @@
     }
   }
 
+  /** A deletion that a former leader began: from now on its machines take no work, from anyone. */
+  takeOverDeletion(ids: readonly string[], done: Promise<boolean>): void {
+    const known: Machine[] = [];
+    for (const id of ids) {
+      const m = this.deps.table.get(id);
+      if (m) known.push(m);
+      else this.goneIds.add(id);
+    }
+    for (const m of known) m.deleting = true;
+    void this.settleDeletion(known, done);
+  }
+
+  /** A rental that a former leader began: its pool is not rented from until it is known what came of it. */
+  takeOverRental(
+    type: string,
+    zone: string,
+    spot: boolean,
+    count: number,
+    result: Promise<RentResult>,
+  ): void {
+    const pool = this.pools.get(this.key(type, zone, spot));
+    if (pool) void this.settleRental(pool, count, result);
+  }
+
   /**
    * A rise is followed slowly, since it may pass before machines are up; but not when there is next to nothing. What
    * a new leader finds waiting is such a rise: followed at once, it rented machines that came up for nothing.
@@ -228,14 +260,19 @@
     const empty = [...this.deps.table.all()].filter(
       (m) => m.reported && !m.deleting && m.usedCpus < 1e-6 && now - m.emptySince > UNNEEDED_MS,
     );
-    if (empty.length > 0) void this.remove(empty, 'no work at all');
+    if (empty.length > 0) void this.remove(empty, 'return', 'no work at all');
   }
 
   private async rent(pool: Pool, count: number): Promise<void> {
+    const { actions } = this.deps;
+    if (!actions.mayBegin() || !this.deps.leads()) return;
+    await this.settleRental(pool, count, actions.rent(pool, count));
+  }
+
+  private async settleRental(pool: Pool, count: number, result: Promise<RentResult>): Promise<void> {
     const { deps } = this;
-    if (!deps.cloud.room() || !deps.leads()) return;
     this.renting.add(pool);
-    const r = await deps.cloud.rent(deps.requestName(), pool.type.name, pool.zone, pool.spot, count);
+    const r = await result;
     this.renting.delete(pool);
     const now = deps.world.clock.now();
     deps.world.log.info(
@@ -267,6 +304,6 @@
     const empty = up.filter(
       (m) => m.draining === 'surplus' && m.usedCpus < 1e-6 && now - m.emptySince > idleMs,
     );
-    if (empty.length > 0) void this.remove(empty, 'surplus');
+    if (empty.length > 0) void this.remove(empty, 'return', 'surplus');
   }
 }
--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -5,6 +5,7 @@
 import type { JobSpec, MachineType } from '../wire/model.js';
 import { type Change } from '../wire/state.js';
 import { isJobId, jobAnswer, readJob } from '../wire/users.js';
+import type { Progress } from './job-table.js';
 import type { LiveMirror, MirroredJob } from './mirror.js';
 import { type LiveRecord, endedKey, liveKey, minimalCancelled, readEnded } from './records.js';
 
@@ -14,11 +15,6 @@
   retryAfterS?: number;
 }
 
-export interface Progress {
-  done: number;
-  running: number;
-}
-
 export interface JobsApiDeps {
   settings: Pick<PlatformSettings, 'teams'>;
   store: StateStore;
--- a/src/jobs/job-table.ts
+++ b/src/jobs/job-table.ts
@@ -154,6 +154,12 @@
 }
 
 /** The leader's live jobs. */
+/** Tasks of a job, as its users are told. */
+export interface Progress {
+  done: number;
+  running: number;
+}
+
 export class JobTable {
   private readonly byId = new Map<string, Job>();
   private nextIndex = 0;
@@ -166,6 +172,16 @@
     return this.byId.size;
   }
 
+  /** Of all jobs. */
+  progress(): [string, Progress][] {
+    return [...this.byId.values()].map((job) => [job.spec.id, progressOf(job)]);
+  }
+
+  progressOf(id: string): Progress | undefined {
+    const job = this.byId.get(id);
+    return job && progressOf(job);
+  }
+
   get(id: string): Job | undefined {
     return this.byId.get(id);
   }
@@ -180,3 +196,7 @@
     this.byId.delete(job.spec.id);
   }
 }
+
+function progressOf(job: Job): Progress {
+  return { done: job.finishedCount, running: job.running };
+}
--- /dev/null
+++ b/src/leadership/adopted-intents.ts
@@ -0,0 +1,30 @@
+/** What a new leader makes of the intents that former leaders have stored. */
+import type { Intent, IntentLog } from '@millring/duties';
+import type { Conversion } from '@millring/rollout';
+import { rentResult } from '../duties/intent-actions.js';
+import type { Fleet } from '../fleet/fleet.js';
+
+/** An intent as it was read. */
+export interface StoredIntent {
+  value: Intent;
+  version: number;
+}
+
+/** While any is open, a leader that can't follow intents must not lead. */
+export function openIntents(log: IntentLog): Conversion {
+  const remaining = log.pending();
+  return remaining > 0 ? { kind: 'running', remaining } : { kind: 'done' };
+}
+
+export function adoptIntents(intents: readonly StoredIntent[], log: IntentLog, fleet: Fleet): void {
+  for (const { value, version } of intents) {
+    const { action, id } = value;
+    if (action.kind === 'delete') {
+      const done = value.outcome !== null || log.follow(id, version).then(({ kind }) => kind === 'resolved');
+      fleet.takeOverDeletion(action.machines, Promise.resolve(done));
+    } else if (value.outcome === null) {
+      const { type, zone, spot, count } = action;
+      fleet.takeOverRental(type, zone, spot, count, log.follow(id, version).then(rentResult));
+    }
+  }
+}
--- a/src/leadership/leader-term.ts
+++ b/src/leadership/leader-term.ts
@@ -1,52 +1,39 @@
 /** What the leader does, for the time of one claim. A new claim starts with empty tables. */
+import type { IntentLog } from '@millring/duties';
 import type { Conversion } from '@millring/rollout';
-import type { OperatorSettings } from '../settings/operator.js';
-import type { PlatformSettings } from '../settings/platform.js';
 import { moneyCounts } from '../settings/money.js';
-import { DRIFT, type World, sleep } from '../runtime.js';
+import { DRIFT, sleep } from '../runtime.js';
 import { shareSockets } from '../sockets.js';
-import type { StateStore } from '../state-store/client.js';
+import { IntentActions } from '../duties/intent-actions.js';
 import { Cloud } from '../fleet/cloud.js';
 import { demandOf } from '../fleet/demand.js';
+import { DirectActions } from '../fleet/machine-actions.js';
 import { Fleet } from '../fleet/fleet.js';
 import type { Demand } from '../fleet/plan.js';
-import { type Job, JobTable } from '../jobs/job-table.js';
-import type { Progress } from '../jobs/api.js';
+import { type Job, JobTable, type Progress } from '../jobs/job-table.js';
 import { CompletionWriter } from '../jobs/completion-writer.js';
-import { FINISHED, LIVE, readLive } from '../jobs/records.js';
+import { readLive } from '../jobs/records.js';
 import { Placement } from '../placement/placement.js';
 import { MachineRecordStore, readMachinePage } from '../workers/machine-records.js';
 import { CommandSender, commandsForReport } from '../workers/commands.js';
 import { type Machine } from '../workers/machine.js';
 import { MachineTable } from '../workers/machine-table.js';
-import type { MachineType, WorkerCommand, WorkerReport } from '../wire/model.js';
-import type { Guard, Pair } from '../wire/state.js';
+import { COMPACT_FINISHED_TASKS, FENCED_DUTIES } from '../build.js';
+import { conversionTo } from '../rollout/conversions.js';
+import type { WorkerCommand, WorkerReport } from '../wire/model.js';
+import type { Pair } from '../wire/state.js';
 import { LeaseExtensionGrants, leaseExtensionMs } from './lease-extension.js';
 import { JobFeed } from './job-feed.js';
+import { adoptIntents, openIntents } from './adopted-intents.js';
 import { cutZones, keptUntil } from './zone-contact.js';
 import { Lateness } from './lateness.js';
+import { LeaseWatch } from './lease-watch.js';
+import { readStoredState } from './stored-state.js';
 import { Takeover } from './takeover.js';
+import type { LeaderTermDeps } from './leader-term-dependencies.js';
 import { WorkerContact } from './worker-contact.js';
 import { type Claim, TOKEN_SPAN } from './leadership.js';
 
-export interface LeaderTermDeps {
-  world: World;
-  settings: PlatformSettings;
-  operator: OperatorSettings;
-  store: StateStore;
-  types: MachineType[];
-  wallMs(): number;
-  leads(): boolean;
-  guard(): Guard;
-  /** Is it known that the job is cancelled, whatever its record says as last read? */
-  isCancelled(id: string): boolean;
-  /** Are cancellations known well enough for starting anything? */
-  informed(): boolean;
-  /** For records in compressed segments, see `CompletionWriter`. */
-  segmentGuard(): Guard | null;
-  handOver(why: string): void;
-}
-
 const TICK_MS = 200;
 /** What is stored is not all read yet. */
 const REBUILDING: Conversion = { kind: 'running', remaining: 1 };
@@ -63,6 +50,7 @@
   private readonly sender: CommandSender;
   private readonly registry: MachineRecordStore;
   private readonly completionWriter: CompletionWriter;
+  private readonly intents: IntentLog;
   private readonly fleet: Fleet;
   private readonly placement: Placement;
   private requests = 0;
@@ -73,6 +61,7 @@
   private readonly contact: WorkerContact;
   private readonly takeover: Takeover;
   private readonly feed: JobFeed;
+  private readonly leaseWatch: LeaseWatch;
   private readonly leaseExtensionMs: number;
   private readonly grants: LeaseExtensionGrants;
 
@@ -101,8 +90,22 @@
     this.sender = this.createCommandSender();
     this.registry = this.createMachineRecordStore();
     this.completionWriter = this.createCompletionWriter();
+    this.intents = deps.duties.intentLog({
+      active: () => this.state !== 'over',
+      leaderGuard: () => deps.guard(),
+      requestName: () => this.requestName(),
+    });
     this.fleet = this.createFleet();
     this.placement = this.createPlacement();
+    this.leaseWatch = new LeaseWatch({
+      table: this.table,
+      sender: this.sender,
+      registry: this.registry,
+      log: world.log,
+      fleet: this.fleet,
+      leaseExtensionMs: this.leaseExtensionMs,
+      keptUntil: () => this.grants.keptUntil(),
+    });
   }
 
   private createJobFeed(): JobFeed {
@@ -176,16 +179,17 @@
 
   private createFleet(): Fleet {
     const { world, settings, operator } = this.deps;
+    const cloud = new Cloud(world, settings.cloud, settings.cloudRps);
     return new Fleet({
       world,
-      cloud: new Cloud(world, settings.cloud, settings.cloudRps),
+      cloud,
+      actions: this.createMachineActions(cloud),
       table: this.table,
       operator,
       types: this.deps.types,
       saveMoney: moneyCounts(settings, operator),
       reportS: settings.reportS,
       listLagS: settings.listLagS,
-      requestName: () => `${settings.node}-${this.claim.revision}-${this.requests++}`,
       leads: () => this.leads(),
       demand: () => this.demand(),
       cutZones: () => cutZones(settings, this.grants, world.clock.now()),
@@ -201,6 +205,21 @@
     });
   }
 
+  private createMachineActions(cloud: Cloud): IntentActions {
+    const { settings, duties } = this.deps;
+    return new IntentActions({
+      log: this.intents,
+      direct: new DirectActions(cloud, () => this.requestName()),
+      usesIntents: () => duties.usesIntents(),
+      valueBytes: settings.valueKb * 1024,
+    });
+  }
+
+  /** Never used twice, by any node. */
+  private requestName(): string {
+    return `${this.deps.settings.node}-${this.claim.revision}-${this.requests++}`;
+  }
+
   private createPlacement(): Placement {
     const { world, settings, operator } = this.deps;
     return new Placement({
@@ -216,9 +235,13 @@
     });
   }
 
-  /** How many records in newer forms are left, while the cluster's level is lowered. */
-  conversion(): Conversion {
-    return this.state === 'serving' ? this.completionWriter.conversion() : REBUILDING;
+  /** How much of what is stored above the target is left, while the cluster's level is lowered. */
+  conversion(target: number): Conversion {
+    if (this.state !== 'serving') return REBUILDING;
+    return conversionTo(target, {
+      [COMPACT_FINISHED_TASKS]: () => this.completionWriter.conversion(),
+      [FENCED_DUTIES]: () => openIntents(this.intents),
+    });
   }
 
   /** Is this node entitled to act at this very moment? */
@@ -266,15 +289,14 @@
 
   /** Reads all records; the revision to follow changes from, or null if the state service could not be read. */
   private async rebuild(): Promise<number | null> {
-    const { store } = this.deps;
-    const machines = await store.scan('m/');
-    const jobs = machines && (await store.scan(LIVE));
-    const finished = jobs && (await store.scan(FINISHED));
-    if (!machines || !jobs || !finished || !this.isRebuilding()) return null;
-    for (const pair of machines.pairs) this.loadMachines(pair);
+    const { store, duties } = this.deps;
+    const stored = await readStoredState(store, duties.areKnown() ? this.intents : null);
+    if (!stored || !this.isRebuilding()) return null;
+    for (const pair of stored.machines) this.loadMachines(pair);
+    adoptIntents(stored.intents, this.intents, this.fleet);
     this.feed.load(
-      jobs.pairs,
-      finished.pairs,
+      stored.jobs,
+      stored.finished,
       (job, chunk) => {
         this.completionWriter.noteWritten(job, chunk);
       },
@@ -282,7 +304,7 @@
         this.completionWriter.leftOver(key);
       },
     );
-    return jobs.revision;
+    return stored.revision;
   }
 
   private loadMachines(pair: Pair): void {
@@ -358,7 +380,7 @@
     const now = world.clock.now();
     this.sender.timerFired(this.lateness.timerFired(now));
     if (this.leads()) {
-      this.expireLeases(now);
+      this.leaseWatch.expire(now);
       if (this.takeover.check(now)) this.wake();
       this.registry.tick();
       this.completionWriter.tick();
@@ -366,8 +388,8 @@
       this.placement.round();
       this.wake();
       this.sender.flushDue(true);
-      this.probeUnanswered(now);
-      if (this.contact.isLost(this.known(), this.lateness.isBehind(now), now))
+      this.leaseWatch.probe(now);
+      if (this.contact.isLost(this.table.storedCount(), this.lateness.isBehind(now), now))
         this.deps.handOver('no worker is heard');
     }
     world.clock.after(TICK_MS, () => {
@@ -375,34 +397,6 @@
     });
   }
 
-  private expireLeases(now: number): void {
-    const keptUntil = this.grants.keptUntil();
-    for (const machine of this.table.all()) {
-      if (!machine.reported && !machine.suspect) continue;
-      if (!this.table.leaseOver(machine, keptUntil, now)) continue;
-      this.deps.world.log.info({ id: machine.id }, 'worker lease has run out');
-      this.table.expire(machine, now);
-      // So no later leader need wait for it.
-      this.registry.removed(machine);
-    }
-  }
-
-  /** One that did not answer gets nothing until it does, so it is asked also after it is heard again. */
-  private probeUnanswered(now: number): void {
-    for (const machine of this.table.all()) {
-      if (!machine.stored && !machine.reported) continue;
-      const unanswered = !machine.certain() || machine.commandFailures > 0;
-      if (!unanswered && !this.fleet.isOverdue(machine, now)) continue;
-      if (this.sender.isWorthProbing(machine, now)) this.sender.flush(machine, true);
-    }
-  }
-
-  private known(): number {
-    let n = 0;
-    for (const m of this.table.all()) if (m.stored) n++;
-    return n;
-  }
-
   private applyReport(m: Machine, r: WorkerReport): void {
     const now = this.deps.world.clock.now();
     const fresh = r.session > m.session || (r.session === m.session && r.seq > m.seq);
@@ -441,17 +435,11 @@
     return { token: this.table.ask(m, now, this.deps.settings.leaseS * 500), orders };
   }
 
-  /** A follower asks whether it may keep leases. Not while some machine stays silent: its lease must end some time. */
+  /** A follower asks whether it may keep leases. */
   asked(from: string): { revision: number; keep: boolean } | null {
     if (this.state !== 'serving' || !this.deps.leads()) return null;
     const now = this.deps.world.clock.now();
-    // Nor while a takeover waits for one that does not answer: each grant would put off the proof for all old jobs.
-    const mustEnd = (m: Machine): boolean =>
-      !m.expired &&
-      (this.fleet.isLost(m) ||
-        this.fleet.isSilent(m, now - this.leaseExtensionMs / 4) ||
-        (m.suspect && !m.certain() && m.commandFailures > 0));
-    const keep = ![...this.table.all()].some(mustEnd);
+    const keep = this.leaseWatch.mayOthersExtend(now);
     this.grants.asked(from, keep, now);
     return { revision: this.claim.revision, keep };
   }
@@ -483,15 +471,10 @@
   }
 
   progress(): [string, Progress][] {
-    return [...this.jobs.all()].map((j) => [j.spec.id, this.progressOf(j)]);
-  }
-
-  private progressOf(job: Job): Progress {
-    return { done: job.finishedCount, running: job.running };
+    return this.jobs.progress();
   }
 
   progressFor(id: string): Progress | undefined {
-    const job = this.jobs.get(id);
-    return job && this.progressOf(job);
+    return this.jobs.progressOf(id);
   }
 }
--- /dev/null
+++ b/src/leadership/stored-state.ts
@@ -0,0 +1,29 @@
+/** What a new leader reads before it acts. */
+import type { IntentLog } from '@millring/duties';
+import { FINISHED, LIVE } from '../jobs/records.js';
+import type { StateStore } from '../state-store/client.js';
+import type { Pair } from '../wire/state.js';
+import type { StoredIntent } from './adopted-intents.js';
+
+export interface StoredState {
+  machines: Pair[];
+  jobs: Pair[];
+  finished: Pair[];
+  intents: StoredIntent[];
+  /** Changes to jobs after this revision are not in it. */
+  revision: number;
+}
+
+/** Null if the state service could not be read. `intents` is null where none can be stored. */
+export async function readStoredState(
+  store: StateStore,
+  intents: IntentLog | null,
+): Promise<StoredState | null> {
+  const machines = await store.scan('m/');
+  const jobs = machines && (await store.scan(LIVE));
+  const finished = jobs && (await store.scan(FINISHED));
+  const opened = finished && (intents ? await intents.read() : []);
+  if (!machines || !jobs || !finished || !opened) return null;
+  const { revision } = jobs;
+  return { machines: machines.pairs, jobs: jobs.pairs, finished: finished.pairs, intents: opened, revision };
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,6 +1,7 @@
 /** The command line: runs a controller, or an operators' command beside the controllers. */
 import { readFileSync } from 'node:fs';
 import { performance } from 'node:perf_hooks';
+import { DUTIES, type Duty } from '@millring/duties';
 import { Argument, Command, CommanderError } from 'commander';
 import pino from 'pino';
 import manifest from '../package.json' with { type: 'json' };
@@ -8,6 +9,8 @@
 import { ControllerNode } from './node.js';
 import { outgoing } from './outgoing.js';
 import { Peers } from './peers/peers.js';
+import type { CommandOutcome } from './command-outcome.js';
+import { type DutiesCommand, runDutiesCommand } from './duties/command-line.js';
 import { ROLLOUT_ACTIONS, type RolloutAction, runRolloutCommand } from './rollout/command-line.js';
 import type { World } from './runtime.js';
 import { shareSockets } from './sockets.js';
@@ -16,6 +19,9 @@
 
 const EXIT_BAD_INPUT = 2;
 
+const DUTY_ACTIONS = ['status', 'hold', 'release'] as const;
+type DutyAction = (typeof DUTY_ACTIONS)[number];
+
 interface Options {
   config: string;
   operator?: string;
@@ -123,7 +129,17 @@
   const world = realWorld(platform, logger('silent', platform.node));
   const command = { action, json: options.json === true };
   const outcome = await runRolloutCommand(command, world, platform, operator, () => Date.now());
-  const isForOutput = outcome.exitCode === 0 || command.json;
+  end(outcome, command.json);
+}
+
+async function runDuties(command: DutiesCommand, options: Options): Promise<void> {
+  const { platform } = loadSettings(options);
+  const world = realWorld(platform, logger('silent', platform.node));
+  end(await runDutiesCommand(command, world, platform, () => Date.now()), command.json);
+}
+
+function end(outcome: CommandOutcome, isJson: boolean): void {
+  const isForOutput = outcome.exitCode === 0 || isJson;
   (isForOutput ? process.stdout : process.stderr).write(`${outcome.text}\n`, () => {
     process.exit(outcome.exitCode);
   });
@@ -150,9 +166,30 @@
     .action((action: RolloutAction, _options: unknown, command: Command) =>
       runRollout(action, command.optsWithGlobals()),
     );
+  addDutiesCommands(program);
   return program;
 }
 
+function addDutiesCommands(program: Command): void {
+  program
+    .command('duties')
+    .description('Shows who holds which duty; keeps everyone from holding one, or ends that.')
+    .addArgument(new Argument('<action>').choices(DUTY_ACTIONS))
+    .addArgument(new Argument('[duty]').choices(DUTIES))
+    .option('--json', 'answer as JSON')
+    .showSuggestionAfterError(false)
+    .exitOverride()
+    .action((action: DutyAction, duty: Duty | undefined, _options: unknown, command: Command) => {
+      const options: Options = command.optsWithGlobals();
+      return runDuties(dutiesCommand(action, duty, options.json === true), options);
+    });
+}
+
+function dutiesCommand(action: DutyAction, duty: Duty | undefined, json: boolean): DutiesCommand {
+  if (action === 'status') return duty === undefined ? { action, json } : fail('status: takes no duty');
+  return duty === undefined ? fail(`${action}: the duty is missing`) : { action, duty, json };
+}
+
 async function main(): Promise<void> {
   try {
     await commandLine().parseAsync();
--- a/src/node.ts
+++ b/src/node.ts
@@ -4,7 +4,8 @@
 import type { PlatformSettings } from './settings/platform.js';
 import { type World, sleep } from './runtime.js';
 import { Cloud } from './fleet/cloud.js';
-import { type Answer, JobsApi, type Progress } from './jobs/api.js';
+import { type Answer, JobsApi } from './jobs/api.js';
+import type { Progress } from './jobs/job-table.js';
 import { LiveMirror } from './jobs/mirror.js';
 import { LeaderTerm } from './leadership/leader-term.js';
 import { ASK_MS, LeaseExtender, leaseExtensionMs } from './leadership/lease-extension.js';
@@ -13,8 +14,9 @@
 import { Attestations } from './peers/attestations.js';
 import { BUILD, COMPACT_FINISHED_TASKS } from './build.js';
 import type { PeerMessage } from './peers/peers.js';
+import { ControllerDuties } from './duties/controller-duties.js';
 import { ControllerRollout } from './rollout/controller-rollout.js';
-import { StateStore } from './state-store/client.js';
+import { type StateStore, stateStoreOf } from './state-store/client.js';
 import type { Body } from './wire/cbor.js';
 import { catalogBody, readTypes } from './wire/cloud.js';
 import { readReport, redirectBody, reportAnswer } from './wire/workers.js';
@@ -37,6 +39,7 @@
   readonly api: JobsApi;
   readonly leadership: Leadership;
   readonly rollout: ControllerRollout;
+  private readonly duties: ControllerDuties;
   private readonly store: StateStore;
   private readonly cloud: Cloud;
   private term: LeaderTerm | null = null;
@@ -59,12 +62,7 @@
     build: Build = BUILD,
   ) {
     const process = `${wallMs()}-${world.random()}`;
-    this.store = new StateStore(world, {
-      address: settings.state,
-      nodes: settings.nodes,
-      rps: settings.stateRps,
-      writeRps: settings.stateWriteRps,
-    });
+    this.store = stateStoreOf(world, settings);
     this.cancellations = new Cancellations(settings.cancelS, settings.leaseS, () => world.clock.now());
     this.cancellations.onNew((id) => this.term?.cancelledElsewhere(id));
     this.attestations = new Attestations(
@@ -97,6 +95,16 @@
       tellPeers,
       excluded: () => void this.leadership.handOver('the stored state cannot be read'),
     });
+    this.duties = new ControllerDuties({
+      world,
+      settings,
+      operator,
+      store: this.store,
+      rollout: this.rollout,
+      process,
+      wallMs,
+      leader: () => this.leadership.leader(),
+    });
     this.leadership = this.createLeadership();
     this.api = new JobsApi({
       settings,
@@ -115,6 +123,7 @@
   run(): void {
     void Promise.all([this.learnTypes(), this.rollout.join()]).then(() => {
       this.leadership.run();
+      this.duties.run();
     });
     this.tellProgress();
     this.askLeader();
@@ -190,6 +199,7 @@
         isCancelled: (id) => this.cancellations.has(id),
         informed: () => this.cancellations.ageMs() < INFORMED_MS,
         segmentGuard: () => this.rollout.writeGuard(COMPACT_FINISHED_TASKS),
+        duties: this.duties,
         handOver: (why) => void leadership.handOver(why),
       },
       claim,
@@ -200,7 +210,7 @@
       leads: () => leadership.leads() && leadership.current() === claim,
       active: () => leadership.current() === claim,
       leaderGuard: () => leadership.guard(),
-      conversion: () => term.conversion(),
+      conversion: (target) => term.conversion(target),
     });
   }
 
--- a/src/rollout/command-line.ts
+++ b/src/rollout/command-line.ts
@@ -1,25 +1,21 @@
 /** `millring rollout ...`: what operators see of the cluster level and do about it. */
 import { type OperatorResult, RolloutOperator, type StatusResult } from '@millring/rollout';
 import { FEATURES } from '../build.js';
+import {
+  type CommandOutcome,
+  EXIT_DONE,
+  EXIT_REFUSED,
+  EXIT_UNREACHABLE,
+  UNREACHABLE_TEXT,
+} from '../command-outcome.js';
 import type { World } from '../runtime.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { PlatformSettings } from '../settings/platform.js';
-import { StateStore } from '../state-store/client.js';
+import { stateStoreOf } from '../state-store/client.js';
 
 export const ROLLOUT_ACTIONS = ['status', 'activate', 'abort', 'downgrade'] as const;
 export type RolloutAction = (typeof ROLLOUT_ACTIONS)[number];
 
-/** Exit codes; 2 is for bad input. */
-export const EXIT_DONE = 0;
-export const EXIT_UNREACHABLE = 1;
-export const EXIT_REFUSED = 3;
-
-export interface CommandOutcome {
-  exitCode: number;
-  /** For standard output, or for standard error if the exit code is not 0. */
-  text: string;
-}
-
 export interface RolloutCommand {
   action: RolloutAction;
   json: boolean;
@@ -33,12 +29,7 @@
   wallMs: () => number,
 ): Promise<CommandOutcome> {
   const rollout = new RolloutOperator({
-    store: new StateStore(world, {
-      address: settings.state,
-      nodes: settings.nodes,
-      rps: settings.stateRps,
-      writeRps: settings.stateWriteRps,
-    }),
+    store: stateStoreOf(world, settings),
     controllers: [settings.node, ...settings.peers.map((peer) => peer.name)],
     registry: FEATURES,
     settings: operator.rollout,
@@ -81,7 +72,7 @@
     case 'refused':
       return `refused: ${result.reason}`;
     case 'unreachable':
-      return 'the state service was not reached: nothing is known of the change';
+      return UNREACHABLE_TEXT;
     case 'status':
       return statusText(result);
   }
--- a/src/rollout/controller-rollout.ts
+++ b/src/rollout/controller-rollout.ts
@@ -96,6 +96,7 @@
 
   /** For the time of one claim. */
   coordinate(term: CoordinatedTerm): void {
+    if (this.participant.isOutside()) return;
     const { settings, store, operator } = this.deps;
     const coordinator = new RolloutCoordinator({
       environment: this.environment(),
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -1,6 +1,7 @@
 /**
  * Reads the operators' own settings (JSON), checked against `operator.schema.json`, which has the defaults.
  */
+import type { DutySettings } from '@millring/duties';
 import type { RolloutSettings } from '@millring/rollout';
 import { Ajv } from 'ajv';
 import schema from './operator.schema.json' with { type: 'json' };
@@ -29,6 +30,8 @@
   command_timeout_ms: number;
   /** How new forms and decisions are turned on across controllers of several versions. */
   rollout: RolloutSettings;
+  /** Who rents and deletes machines: the leader, or the holders of duties. */
+  duties: DutySettings;
 }
 
 const wrapper = {
--- a/src/state-store/client.ts
+++ b/src/state-store/client.ts
@@ -3,6 +3,7 @@
  * service's limits.
  */
 import type { Reply, World } from '../runtime.js';
+import type { PlatformSettings } from '../settings/platform.js';
 import {
   type Change,
   type Guard,
@@ -40,6 +41,16 @@
 
 const TIMEOUT_MS = 2000;
 
+/** A client within the limits that the platform has set. */
+export function stateStoreOf(world: World, settings: PlatformSettings): StateStore {
+  return new StateStore(world, {
+    address: settings.state,
+    nodes: settings.nodes,
+    rps: settings.stateRps,
+    writeRps: settings.stateWriteRps,
+  });
+}
+
 /**
  * The state service, met by its protocol. The service's limits are shared by all nodes without their talking
  * to each other: each holds to its share, and renewals are let through first.
--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -52,6 +52,13 @@
   all(): IterableIterator<Machine> {
     return this.byId.values();
   }
+  /** How many are stored: commands may have been sent to them. */
+  storedCount(): number {
+    let count = 0;
+    for (const machine of this.all()) if (machine.stored) count++;
+    return count;
+  }
+
   size(): number {
     return this.byId.size;
   }
--- /dev/null
+++ b/test/duties-cluster.test.ts
@@ -0,0 +1,249 @@
+/** Duties in whole simulated clusters: what the leader decides is done by other controllers, whatever fails. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DUTIES, type Intent, INTENTS } from '@millring/duties';
+import type { Body } from '../src/wire/cbor.js';
+import { Cluster, type ClusterConfig } from './sim/cluster.js';
+import { BATCH } from './sim/jobs.js';
+import { expectKept, play } from './sim/play.js';
+
+const LEVEL = 3;
+const ROLLOUT = {
+  mode: 'manual',
+  announcement_lease_s: 3,
+  stall_s: 15,
+  ungated_builds_retired: true,
+} as const;
+const SETTINGS = { mode: 'on', lease_s: 2, settle_s: 4, rebalance_s: 15, retention_s: 5 } as const;
+
+/** The level has been raised before the day begins. */
+function plantLevel(cluster: Cluster): void {
+  cluster.state.plant('rollout/level', {
+    state: 'stable',
+    active: LEVEL,
+    target: null,
+    change: 8,
+    changedBy: 'n0',
+    sinceMs: 0,
+    reason: null,
+    startedWith: {},
+    held: null,
+  });
+}
+
+/** Looks at each request to the cloud as it is executed. */
+class CloudWatch {
+  /** All intents that were ever stored. */
+  readonly intents = new Map<string, Intent>();
+  deletions = 0;
+  rentals = 0;
+  private revisionSeen = 0;
+
+  constructor(private readonly cluster: Cluster) {
+    const host = cluster.net.hosts.get('cloud:1')!;
+    const inner = host.handler!;
+    host.handler = (method, path, body, from) => {
+      this.asked(path, body);
+      return inner(method, path, body, from);
+    };
+    cluster.checks.push(() => {
+      this.readIntents();
+    });
+  }
+
+  private readIntents(): void {
+    const { state } = this.cluster;
+    if (state.revision === this.revisionSeen) return;
+    this.revisionSeen = state.revision;
+    for (const [key, { value }] of state.items)
+      if (key.startsWith(INTENTS)) this.intents.set(key.slice(INTENTS.length), value as Intent);
+    this.checkOpen();
+  }
+
+  /** No machine is to be deleted twice, and no pool rented from twice at a time, whoever leads. */
+  private checkOpen(): void {
+    const seen = new Set<string>();
+    for (const [key, { value }] of this.cluster.state.items) {
+      const intent = key.startsWith(INTENTS) ? (value as Intent) : null;
+      if (intent?.outcome !== null) continue;
+      for (const subject of subjectsOf(intent)) {
+        if (seen.has(subject)) this.cluster.rules.break('opened_twice', subject);
+        seen.add(subject);
+      }
+    }
+  }
+
+  private asked(path: string, body: Body): void {
+    this.readIntents();
+    if (path === '/machines/delete') this.deleted(body.stones as string[]);
+    if (path === '/machines') this.rented(body.hire as string);
+  }
+
+  private rented(request: string): void {
+    this.rentals++;
+    if (this.intents.get(request)?.action.kind !== 'rent')
+      this.cluster.rules.break('rented_without_intent', request);
+  }
+
+  private deleted(machines: string[]): void {
+    this.deletions++;
+    const { rules, cloud } = this.cluster;
+    const intents = [...this.intents.values()].filter(
+      ({ action }) => action.kind === 'delete' && machines.every((id) => action.machines.includes(id)),
+    );
+    if (intents.length === 0) rules.break('deleted_without_intent', machines.join(', '));
+    // Machines that nothing needs are empty; only silent ones may have had work.
+    if (intents.some(({ duty }) => duty === 'reclaim')) return;
+    for (const places of rules.on.values())
+      for (const { machine } of places)
+        if (machines.includes(machine) && cloud.machines.has(machine))
+          rules.break('returned_with_work', machine);
+  }
+}
+
+function subjectsOf({ action }: Intent): string[] {
+  return action.kind === 'delete' ? action.machines : [`${action.type} ${action.zone} ${action.spot}`];
+}
+
+function dutiesDay(
+  name: string,
+  seed: number,
+  troubles: (cluster: Cluster, second: number) => void,
+  config: Partial<ClusterConfig> = {},
+): void {
+  test(`${name} (${seed})`, async () => {
+    let watch: CloudWatch | null = null;
+    const before = (cluster: Cluster, second: number): void => {
+      if (second > 0) troubles(cluster, second);
+    };
+    const outcome = await play(
+      { ordinaryUp: 0, seed, saveMoney: true, rollout: ROLLOUT, duties: SETTINGS, ...config },
+      before,
+      (cluster) => {
+        plantLevel(cluster);
+        watch = new CloudWatch(cluster);
+      },
+    );
+    expectKept(outcome);
+    const seen = watch as CloudWatch | null;
+    assert.ok(seen && seen.rentals + seen.deletions > 0, 'the cloud was asked');
+    assert.ok([...seen.intents.values()].some(({ outcome: end }) => end !== null));
+  });
+}
+
+/** Machines that some task runs on. */
+function withTasks(cluster: Cluster): Set<string> {
+  return new Set([...cluster.rules.on.values()].flat().map(({ machine }) => machine));
+}
+
+// Guards: a new leader reads all intents before it places anything.
+test('machines that a former leader wanted to give back take no work, whoever leads', async () => {
+  const cluster = new Cluster({ seed: 51, ordinaryUp: 4, capacity: 8, rollout: ROLLOUT, duties: SETTINGS });
+  plantLevel(cluster);
+  cluster.state.plant('duties/holds/return', { by: 'operator', sinceMs: 0 });
+  await cluster.run(45);
+  const named = (): string[] =>
+    [...cluster.state.items].flatMap(([key, { value }]) => {
+      const intent = key.startsWith(INTENTS) ? (value as Intent) : null;
+      return intent?.duty === 'return' && intent.action.kind === 'delete' ? intent.action.machines : [];
+    });
+  const machines = named();
+  assert.ok(machines.length > 0, 'machines without work are to be given back');
+  for (let round = 0; round < 2; round++) {
+    cluster.crash(cluster.leader() ?? assert.fail(), 1000);
+    await cluster.run(6);
+    for (let i = 0; i < 6; i++) void cluster.user(cluster.jobBody(), null);
+    for (let second = 0; second < 20; second++) {
+      await cluster.run(1);
+      assert.deepEqual(
+        [...withTasks(cluster)].filter((id) => machines.includes(id)),
+        [],
+      );
+    }
+  }
+  assert.ok(withTasks(cluster).size > 0, 'others are rented and take the work');
+  await cluster.state.handle('POST', '/txn', { then: [{ remove: 'duties/holds/return' }] }, 'operator');
+  await cluster.run(15);
+  assert.ok(
+    machines.every((id) => !cluster.cloud.machines.has(id)),
+    'they are given back',
+  );
+  assert.deepEqual(cluster.rules.broken, []);
+});
+
+// Guards: a new leader does not rent for what its predecessor is renting for.
+test('an open rental of a former leader is waited for', async () => {
+  const cluster = new Cluster({ seed: 52, ordinaryUp: 0, capacity: 8, rollout: ROLLOUT, duties: SETTINGS });
+  plantLevel(cluster);
+  const watch = new CloudWatch(cluster);
+  cluster.state.plant('duties/holds/rent', { by: 'operator', sinceMs: 0 });
+  await cluster.run(3);
+  for (let i = 0; i < 4; i++) void cluster.user(cluster.jobBody({ ...BATCH, sacks: 8 }), null);
+  await cluster.run(5);
+  for (let round = 0; round < 3; round++) {
+    cluster.crash(cluster.leader() ?? assert.fail(), 1000);
+    await cluster.run(8);
+  }
+  const open = [...watch.intents.values()].filter(({ outcome }) => outcome === null);
+  assert.ok(open.length > 0);
+  assert.deepEqual(cluster.rules.broken, []);
+  await cluster.state.handle('POST', '/txn', { then: [{ remove: 'duties/holds/rent' }] }, 'operator');
+  await cluster.run(60);
+  assert.deepEqual(cluster.rules.broken, []);
+  assert.ok([...cluster.rules.jobs.values()].every(({ toldDoneAt }) => toldDoneAt !== null));
+});
+
+for (const seed of [41, 42]) dutiesDay('a quiet day: everything goes through intents', seed, () => undefined);
+
+for (const seed of [43, 44, 45])
+  dutiesDay('holders and leaders die, freeze and lose the state service', seed, (cluster, second) => {
+    const { random } = cluster;
+    if (second % 6 !== 0) return;
+    const holder = cluster.state.value(`duties/holders/${random.pick([...DUTIES])}`) as
+      { controller: string } | undefined;
+    const name = holder?.controller ?? random.pick(cluster.names);
+    const kind = random.int(0, 3);
+    if (kind === 0) cluster.crash(name, 1500);
+    else if (kind === 1) cluster.freeze(name, 5000);
+    else if (kind === 2) cluster.state.refuse(`${name}:80`, 5000);
+    else cluster.crash(cluster.leader() ?? name, 1000);
+  });
+
+dutiesDay('all controllers end at once, in the middle of actions', 48, (cluster, second) => {
+  if (second % 20 === 10) for (const name of cluster.names) cluster.crash(name, 2000);
+});
+
+dutiesDay(
+  'several hundred machines, while holders and machines die',
+  49,
+  (cluster, second) => {
+    for (let i = 0; i < 3; i++)
+      void cluster.user(cluster.jobBody({ ...BATCH, sacks: 40, grind_s: 10 }), null);
+    const machines = [...cluster.cloud.machines.values()].filter(({ condition }) => condition === 'running');
+    if (machines.length > 0) cluster.random.pick(machines).worker?.kill();
+    if (second % 15 === 5) cluster.crash(cluster.random.pick(cluster.names), 2000);
+  },
+  {
+    nodes: 5,
+    capacity: 160,
+    teamLimit: 1e6,
+    reportMs: 3000,
+    leaseMs: 15_000,
+    cancelMs: 40_000,
+    state: { rps: 200, writeRps: 40 },
+  },
+);
+
+for (const seed of [46, 47])
+  dutiesDay('machines die and controllers are cut off while writes come late', seed, (cluster, second) => {
+    const { random } = cluster;
+    if (second % 5 === 0) {
+      const machines = [...cluster.cloud.machines.values()].filter(
+        ({ condition }) => condition === 'running',
+      );
+      if (machines.length > 0) random.pick(machines).worker?.kill();
+    }
+    if (second % 15 === 7) cluster.isolate(random.pick(cluster.names), 4000, 'reset');
+    if (second % 20 === 10)
+      cluster.state.lateWrites = { share: 0.2, until: cluster.clock.time + 3000, keys: 'duties/' };
+  });
--- /dev/null
+++ b/test/duties-level.test.ts
@@ -0,0 +1,54 @@
+/** The duties and the cluster's level: lowering while intents are open, and beside another feature. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { BUILD } from '../src/build.js';
+import { BATCH } from './sim/jobs.js';
+import { LARGE, Roll, SETTINGS, withJobs } from './sim/roll.js';
+
+// Guards: a leader that can't follow intents must not lead while a machine may be deleted because of one.
+test('lowering from the level of the duties waits for open intents, and the leader then acts itself', async () => {
+  const roll = new Roll(19, BUILD, {
+    ordinaryUp: 0,
+    rollout: { ...SETTINGS, ungated_builds_retired: true },
+    duties: { mode: 'on', lease_s: 2, settle_s: 3, rebalance_s: 15, retention_s: 5 },
+  });
+  const { state } = roll.cluster;
+  await roll.reaches('stable', 3);
+  await roll.until('the duty is held', () => state.items.has('duties/holders/rent'));
+  await state.handle('POST', '/txn', { then: [{ remove: 'duties/holders/rent' }] }, 'operator');
+  state.plant('duties/holds/rent', { by: 'operator', sinceMs: 0 });
+  withJobs(roll);
+  const open = (): number => [...state.items].filter(([key, { value }]) => isOpenIntent(key, value)).length;
+  await roll.until('an intent is open', () => open() > 0);
+  assert.equal((await roll.ask('downgrade')).kind, 'done');
+  await roll.staysAt(3, 10);
+  assert.equal(roll.level.state, 'lowering');
+  const before = open();
+  assert.equal(roll.cluster.cloud.machines.size, 0);
+  await state.handle('POST', '/txn', { then: [{ remove: 'duties/holds/rent' }] }, 'operator');
+  await roll.reaches('stable', 2);
+  assert.deepEqual([before > 0, open()], [true, 0]);
+  const intents = state.changesUnder('duties/intents/');
+  await roll.finish();
+  const rented = roll.cluster.cloud.machines.size;
+  for (let i = 0; i < 10; i++)
+    void roll.cluster.user(roll.cluster.jobBody({ ...BATCH, sacks: 12, grind_s: 8 }), null);
+  await roll.until('the leader rents', () => roll.cluster.cloud.machines.size > rented);
+  assert.equal(state.changesUnder('duties/intents/'), intents, 'no intent is opened below the level');
+});
+
+// Guards: what the lower level still uses is not converted.
+test('lowering from the level of the duties leaves segments as they are', async () => {
+  const roll = new Roll(20, BUILD, { ...LARGE, rollout: { ...SETTINGS, ungated_builds_retired: true } });
+  await roll.reaches('stable', 3);
+  roll.submitLarge(8);
+  await roll.until('segments are stored', () => roll.rules.segments().length > 0);
+  assert.equal((await roll.ask('downgrade')).kind, 'done');
+  await roll.reaches('stable', 2);
+  assert.ok(roll.rules.segments().length > 0);
+  await roll.finish();
+});
+
+function isOpenIntent(key: string, value: unknown): boolean {
+  return key.startsWith('duties/intents/') && (value as { outcome: unknown }).outcome === null;
+}
--- /dev/null
+++ b/test/duties-operators.test.ts
@@ -0,0 +1,111 @@
+/** Duties: records that nobody understands, what operators do, and records that are cleaned up. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { DutyOperator } from '@millring/duties';
+import { StateStore } from '../src/state-store/client.js';
+import { type DutyGroup, resolved, settledGroup, withMachines } from './sim/duty-group.js';
+import { quietLog } from './sim/quiet-log.js';
+
+// Guards: records that can't be read are neither acted on nor replaced.
+test('malformed and unknown records are left alone, and logged once', async () => {
+  const group = await settledGroup(17);
+  const calls = group.provider.calls.length;
+  group.state.plant('duties/intents/x', { id: 'x', duty: 'return', action: { kind: 'burn' } });
+  group.state.plant('duties/intents/y', { ...validIntent('y'), duty: 'dance' });
+  group.state.plant('duties/intents/z', { ...validIntent('z'), duty: 'rent' });
+  group.state.plant('duties/holders/dance', { controller: 'n9', process: 'p', token: 1 });
+  await group.run(10);
+  assert.equal(group.provider.calls.length, calls);
+  for (const key of ['duties/intents/x', 'duties/intents/y', 'duties/intents/z', 'duties/holders/dance']) {
+    assert.ok(group.state.items.has(key), key);
+    const told = group.lines.filter(
+      ({ name, fields }) => name === 'n0' && (fields as { key?: string }).key === key,
+    );
+    assert.equal(told.length, 1, key);
+  }
+});
+
+test('a holder record that nobody understands keeps the duty from being held until an operator frees it', async () => {
+  const group = await settledGroup(18);
+  group.rules.operatorActed = true;
+  group.state.plant('duties/holders/rent', { who: 'knows' });
+  await group.run(10);
+  assert.equal(group.holder('rent'), undefined);
+  assert.equal((await ask(group, (operator) => operator.release('rent'))).kind, 'done');
+  await group.until('it is held again', () => group.holder('rent') !== undefined);
+  assert.deepEqual(
+    group.rules.broken.filter((line) => !line.includes('holder_token')),
+    [],
+  );
+});
+
+function validIntent(id: string): object {
+  return {
+    id,
+    duty: 'return',
+    action: { kind: 'delete', machines: ['m'] },
+    openedMs: 0,
+    outcome: null,
+    token: null,
+  };
+}
+
+async function ask<T>(group: DutyGroup, question: (operator: DutyOperator) => Promise<T>): Promise<T> {
+  group.rules.operatorActed = true;
+  const clock = group.clock.host(1, () => true);
+  const http = {
+    send: (to: string, method: string, path: string, body: never, timeoutMs: number) =>
+      group.net.send('n9:80', to, method, path, body, timeoutMs),
+  };
+  const world = { clock, http, log: quietLog, random: () => 0.5 } as ConstructorParameters<
+    typeof StateStore
+  >[0];
+  const store = new StateStore(world, { address: 'state:1', nodes: 1, rps: 100, writeRps: 50 });
+  const operator = new DutyOperator({ store, by: 'operator-1', wallMs: () => 1e12 + group.clock.time });
+  let result: T | null = null;
+  void question(operator).then((r) => (result = r));
+  await group.until('the operator has an answer', () => result !== null);
+  return result ?? assert.fail();
+}
+
+test('operators: a duty on hold has no holder, its intents wait, and release lets them be done', async () => {
+  const group = await settledGroup(19);
+  const machines = await withMachines(group, 1);
+  assert.equal((await ask(group, (operator) => operator.hold('return'))).kind, 'done');
+  assert.equal((await ask(group, (operator) => operator.hold('return'))).kind, 'refused');
+  const opened = group.delete('return', machines[0]);
+  await group.run(10);
+  assert.equal(group.holder('return'), undefined);
+  assert.equal(group.provider.machines.size, 1);
+  const status = await ask(group, (operator) => operator.status());
+  assert.ok(status.kind === 'status');
+  const of = status.duties.find(({ duty }) => duty === 'return');
+  assert.deepEqual([of?.holder, of?.hold?.by, of?.openIntents], [null, 'operator-1', 1]);
+  assert.equal((await ask(group, (operator) => operator.release('return'))).kind, 'done');
+  assert.equal((await resolved(group, opened)).kind, 'resolved');
+  assert.equal(group.provider.machines.size, 0);
+});
+
+test('operators: release takes a duty from its holder, and another one gets it', async () => {
+  const group = await settledGroup(20);
+  await group.run(5);
+  const old = group.holder('reclaim') ?? assert.fail();
+  assert.equal((await ask(group, (operator) => operator.release('reclaim'))).kind, 'done');
+  await group.until('another holds it', () => (group.holder('reclaim') ?? old) !== old);
+  assert.notEqual(group.recorded('reclaim')?.controller, old);
+  assert.deepEqual(group.rules.broken, []);
+});
+
+test('finished intents are removed by the holder of clean-up, and by nobody else', async () => {
+  const group = await settledGroup(21);
+  await withMachines(group, 1);
+  assert.equal((await ask(group, (operator) => operator.hold('clean-up'))).kind, 'done');
+  await group.run(15);
+  assert.equal(group.state.history('duties/intents/i-1').length > 0, true);
+  assert.ok([...group.state.items.keys()].some((key) => key.startsWith('duties/intents/')));
+  assert.equal((await ask(group, (operator) => operator.release('clean-up'))).kind, 'done');
+  await group.until(
+    'it is removed',
+    () => ![...group.state.items.keys()].some((key) => key.startsWith('duties/intents/')),
+  );
+});
--- /dev/null
+++ b/test/duties-processes.test.ts
@@ -0,0 +1,142 @@
+/** A holder of a duty as a real process on loopback, suspended past its lease and continued. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Duty } from '@millring/duties';
+import { ControllerProcesses } from './sim/controller-processes.js';
+import { DUTY, DutyProcesses, LEASE_S } from './sim/duty-processes.js';
+
+const NAMES = ['n0', 'n1', 'n2'];
+
+async function withProcesses(
+  beforeSendingMs: number,
+  run: (processes: DutyProcesses, old: string, token: number) => Promise<void>,
+): Promise<void> {
+  const processes = new DutyProcesses();
+  try {
+    await processes.start(beforeSendingMs);
+    const { controller, token } = processes.recorded()!;
+    await run(processes, controller, token);
+  } finally {
+    await processes.stop();
+  }
+}
+
+/** The old holder found out, and every action that it tried was refused. */
+async function expectFenced(processes: DutyProcesses, old: string, token: number): Promise<void> {
+  await processes.until('the old holder finds out', () => {
+    const states = processes.states(old);
+    return states.indexOf('vacant', states.indexOf('lost')) > 0;
+  });
+  const stale = processes.provider.calls.filter((call) => call.duty === DUTY && call.token === token);
+  assert.ok(stale.every((call) => !call.executed));
+}
+
+test('suspended before the check: the successor acts, and the old holder begins nothing', async () => {
+  await withProcesses(0, async (processes, old, token) => {
+    processes.signal(old, 'SIGSTOP');
+    processes.plantDeletion('i-1', 'm-1');
+    await processes.untilReplaced(old, token);
+    await processes.until('the intent is done', () => processes.isDone('i-1'));
+    processes.signal(old, 'SIGCONT');
+    processes.plantDeletion('i-2', 'm-2');
+    await processes.until('the next intent is done', () => processes.isDone('i-2'));
+    await expectFenced(processes, old, token);
+    assert.equal(processes.checks(old), 0);
+  });
+});
+
+test('suspended between check and send: the request that it sends on waking is refused', async () => {
+  await withProcesses(1000, async (processes, old, token) => {
+    processes.plantDeletion('i-1', 'm-1');
+    await processes.until('the check is passed', () => processes.checks(old) > 0);
+    processes.signal(old, 'SIGSTOP');
+    assert.equal(processes.provider.calls.length, 0);
+    await processes.untilReplaced(old, token);
+    await processes.until('the intent is done', () => processes.isDone('i-1'));
+    assert.ok((processes.intent('i-1')?.token ?? 0) > token);
+    processes.signal(old, 'SIGCONT');
+    await processes.until('the old holder has tried', () => processes.provider.refused().length > 0);
+    await expectFenced(processes, old, token);
+  });
+});
+
+test('suspended with the request in flight: executed late, it is refused, and nothing is written', async () => {
+  await withProcesses(0, async (processes, old, token) => {
+    let release: () => void = () => undefined;
+    const held = new Promise<void>((done) => (release = done));
+    let arrived = 0;
+    processes.provider.delay = () => (arrived++ === 0 ? held : Promise.resolve());
+    processes.plantDeletion('i-1', 'm-1');
+    await processes.until('the request has arrived', () => arrived > 0);
+    processes.signal(old, 'SIGSTOP');
+    await processes.untilReplaced(old, token);
+    await processes.until('the intent is done', () => processes.isDone('i-1'));
+    release();
+    await processes.until('the late request is refused', () => processes.provider.refused().length > 0);
+    processes.signal(old, 'SIGCONT');
+    await expectFenced(processes, old, token);
+    assert.ok((processes.intent('i-1')?.token ?? 0) > token);
+  });
+});
+
+/** Long enough that a machine without a free moment gives nothing up. */
+const ROLLOUT = {
+  mode: 'automatic',
+  soak_s: 0.5,
+  stall_s: 600,
+  announcement_lease_s: 60,
+  ungated_builds_retired: true,
+} as const;
+const ON = { mode: 'on', lease_s: LEASE_S, settle_s: 2, retention_s: 5 } as const;
+const LEVEL = 3;
+
+interface StatusAnswer {
+  duties: { duty: Duty; holder: { controller: string } | null; token: number }[];
+}
+
+async function statusOf(deployment: ControllerProcesses, from: string): Promise<StatusAnswer['duties']> {
+  const answer = await deployment.duties(from, 'status', '--json');
+  assert.equal(answer.code, 0, answer.stderr);
+  return (JSON.parse(answer.stdout) as StatusAnswer).duties;
+}
+
+test('three controllers with the duties on: a holder is suspended under submissions, operators hold and release', async () => {
+  const deployment = new ControllerProcesses();
+  try {
+    await deployment.start('latest', ROLLOUT, ON);
+    void deployment.stream(300);
+    await deployment.until('the level is raised', () => deployment.level.active === LEVEL);
+    const find = async (from: string): Promise<StatusAnswer['duties'][number]> =>
+      (await statusOf(deployment, from)).find(({ duty }) => duty === 'rent') ?? assert.fail();
+    await deployment.until('the duty is held', async () => (await find('n0')).holder !== null);
+    const before = await find('n0');
+    const old = before.holder?.controller ?? assert.fail();
+    deployment.signal(old, 'SIGSTOP');
+    const from = NAMES.find((name) => name !== old) ?? assert.fail();
+    await deployment.until('a successor holds the duty', async () => {
+      const now = await find(from);
+      return now.token > before.token && now.holder !== null && now.holder.controller !== old;
+    });
+    deployment.signal(old, 'SIGCONT');
+    await deployment.untilHealthy(old);
+
+    const hold = await deployment.duties(from, 'hold', 'return');
+    assert.deepEqual([hold.code, hold.stdout], [0, 'return is on hold\n']);
+    const again = await deployment.duties(from, 'hold', 'return');
+    assert.deepEqual([again.code, again.stderr], [3, 'refused: return is on hold already\n']);
+    assert.match(
+      (await deployment.duties(from, 'status')).stdout,
+      /^return: on hold by operator-\S+, token \d+/m,
+    );
+    const release = await deployment.duties(from, 'release', 'return');
+    assert.deepEqual([release.code, release.stdout], [0, 'return may be held again\n']);
+    for (const args of [[], ['dance'], ['hold'], ['hold', 'dance'], ['status', '--loud']]) {
+      const bad = await deployment.duties(from, ...args);
+      assert.deepEqual([bad.code, bad.stdout, bad.stderr.split('\n').length], [2, '', 2], args.join(' '));
+    }
+    await deployment.endStream();
+    deployment.checkHistory();
+  } finally {
+    await deployment.stop();
+  }
+});
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Cloud } from '../src/fleet/cloud.js';
+import { DirectActions } from '../src/fleet/machine-actions.js';
 import { Fleet } from '../src/fleet/fleet.js';
 import type { World } from '../src/runtime.js';
 import type { Body } from '../src/wire/cbor.js';
@@ -54,16 +55,17 @@
     };
     const none = (): undefined => undefined;
     this.table = new MachineTable(100, LEASE_S * 1000, none, { attemptAdded: none, attemptGone: none });
+    const cloud = new Cloud(world, 'cloud:1', 50);
     this.fleet = new Fleet({
       world,
-      cloud: new Cloud(world, 'cloud:1', 50),
+      cloud,
+      actions: new DirectActions(cloud, () => 'r'),
       table: this.table,
       operator: defaultOperatorSettings(),
       types: [TYPE],
       saveMoney: false,
       reportS: REPORT_S,
       listLagS: 2,
-      requestName: () => 'r',
       leads: () => true,
       demand: () => ({
         ordinary: this.demand,
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -1,8 +1,9 @@
 /** A whole deployment in virtual time: controllers, state service, cloud, workers and users. */
+import type { DutySettings } from '@millring/duties';
 import type { Build, RolloutSettings } from '@millring/rollout';
 import { BUILD } from '../../src/build.js';
 import { ControllerNode } from '../../src/node.js';
-import type { Reply, World } from '../../src/runtime.js';
+import type { Reply } from '../../src/runtime.js';
 import { defaultOperatorSettings } from '../../src/settings/operator.js';
 import type { Objective, PlatformSettings } from '../../src/settings/platform.js';
 import type { PeerMessage } from '../../src/peers/peers.js';
@@ -11,6 +12,7 @@
 import { VirtualClock } from './clock.js';
 import { GANG_PEER_MS, GANG_WAIT_MS, GangCoordinator } from './gang-coordinator.js';
 import { Network } from './network.js';
+import { type ProcessLife, processWorld } from './process-world.js';
 import { SeededRandom } from './random.js';
 import { type Room, Rules, jobFacts } from './rules.js';
 import { StateService } from './state-service.js';
@@ -41,6 +43,8 @@
   state?: { rps: number; writeRps: number };
   /** How the controllers take part in the rollout; off where it is not named. */
   rollout?: Partial<RolloutSettings>;
+  /** Who rents and deletes machines; the leader where it is not named. */
+  duties?: Partial<DutySettings>;
   /** The builds that the nodes start with, where they are not this one. */
   builds?: Record<string, Build>;
   log?: (node: string, text: string, fields: object) => void;
@@ -52,10 +56,7 @@
 export const CANCEL_MS = 22_000;
 const CLOUD_RPS = 5;
 
-interface Life {
-  alive: boolean;
-  /** Stands still until then, while its clock runs on. */
-  frozenUntil: number;
+interface Life extends ProcessLife {
   node: ControllerNode;
 }
 
@@ -198,39 +199,15 @@
   }
 
   startNode(name: string): void {
-    const life: Partial<Life> & { alive: boolean; frozenUntil: number } = { alive: true, frozenUntil: 0 };
-    const alive = (): boolean => life.alive;
-    const seen = this.ungated.has(name) ? withoutGate : (_path: string, reply: Reply): Reply => reply;
-    const clock = this.clock.host(this.random.between(1, 1.0005), alive);
-    const onceThawed = (fn: () => void): void => {
-      const left = life.frozenUntil - this.clock.time;
-      if (left > 0)
-        this.clock.after(left, () => {
-          onceThawed(fn);
-        });
-      else if (life.alive) fn();
-    };
-    const world: World = {
-      clock: {
-        now: () => clock.now(),
-        after: (ms, fn) =>
-          clock.after(ms, () => {
-            onceThawed(fn);
-          }),
-      },
-      http: {
-        send: (to, method, path, body, timeoutMs) =>
-          new Promise((done) => {
-            void this.net.send(`${name}:80`, to, method, path, body, timeoutMs).then((r) => {
-              onceThawed(() => {
-                done(seen(path, r));
-              });
-            });
-          }),
-      },
+    const life: Partial<Life> & ProcessLife = { alive: true, frozenUntil: 0 };
+    const world = processWorld(`${name}:80`, life, {
+      clock: this.clock,
+      net: this.net,
+      random: this.random,
+      own: this.clock.host(this.random.between(1, 1.0005), () => life.alive),
       log: { ...quietLog, info: (fields, text) => this.config.log?.(name, text, fields) },
-      random: () => this.random.unit(),
-    };
+      seen: this.ungated.has(name) ? withoutGate : undefined,
+    });
     const tell = (m: PeerMessage): void => {
       this.listener(m);
       for (const [other, l] of this.lives)
@@ -249,6 +226,7 @@
       this.settings(name),
       {
         ...operator,
+        duties: { ...operator.duties, ...this.config.duties },
         rollout: this.ungated.has(name) ? operator.rollout : { ...operator.rollout, ...this.config.rollout },
       },
       () => 1e12 + this.clock.time + (this.wallSkewMs.get(name) ?? 0),
--- a/test/sim/controller-processes.ts
+++ b/test/sim/controller-processes.ts
@@ -6,6 +6,7 @@
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 import { build as bundle } from 'esbuild';
+import type { DutySettings } from '@millring/duties';
 import type { RolloutSettings } from '@millring/rollout';
 import { type Body } from '../../src/wire/cbor.js';
 import { LoopbackStandIns, freePort } from './loopback.js';
@@ -20,7 +21,14 @@
 const CANCEL_S = 60;
 const DECLARED = 'export const BUILD: Build =';
 
-export type BuildName = 'old' | 'new';
+export type BuildName = 'old' | 'new' | 'latest';
+
+/** What the builds declare of themselves, whatever this program declares. */
+const DECLARATIONS: Record<BuildName, string> = {
+  old: "{ version: '0.0.9', reads: { from: 1, to: 1 }, writes: 1 }",
+  new: '{ version: manifest.version, reads: { from: 1, to: 2 }, writes: 2 }',
+  latest: '{ version: manifest.version, reads: { from: 1, to: 3 }, writes: 3 }',
+};
 
 export interface CommandResult {
   code: number;
@@ -35,12 +43,12 @@
   process: ChildProcess | null;
 }
 
-/** The program, or the same with the base level only, as a single file. */
+/** The program as a single file that declares the levels of the named build. */
 async function bundleAs(name: BuildName, directory: string): Promise<string> {
   const outfile = join(directory, `${name}.cjs`);
   const source = readFileSync('src/build.ts', 'utf8');
   assert.ok(source.includes(DECLARED));
-  const old = `export const BUILD: Build = { version: '0.0.9', reads: { from: 1, to: 1 }, writes: 1 };\nconst _NEWER: Build =`;
+  const declared = `${DECLARED} ${DECLARATIONS[name]};\nconst _REPLACED: Build =`;
   await bundle({
     entryPoints: ['src/main.ts'],
     bundle: true,
@@ -54,7 +62,7 @@
         name: 'build',
         setup: (setup) => {
           setup.onLoad({ filter: /src[/\\]build\.ts$/ }, () => ({
-            contents: name === 'old' ? source.replace(DECLARED, old) : source,
+            contents: source.replace(DECLARED, declared),
             loader: 'ts',
           }));
         },
@@ -77,9 +85,14 @@
   refused = 0;
   standIns!: LoopbackStandIns;
 
-  /** `rollout`: as in the operators' file. */
-  async start(build: BuildName, rollout: Partial<RolloutSettings>): Promise<void> {
-    for (const name of ['old', 'new'] as const) this.bundles.set(name, await bundleAs(name, this.directory));
+  /** `rollout` and `duties`: as in the operators' file. */
+  async start(
+    build: BuildName,
+    rollout: Partial<RolloutSettings>,
+    duties: Partial<DutySettings> = {},
+  ): Promise<void> {
+    for (const name of ['old', 'new', 'latest'] as const)
+      this.bundles.set(name, await bundleAs(name, this.directory));
     for (const name of NAMES)
       this.controllers.push({
         name,
@@ -97,7 +110,7 @@
       limits: new Map([[TEAM, 200]]),
     });
     await this.standIns.start();
-    writeFileSync(join(this.directory, 'operator.json'), JSON.stringify({ rollout }));
+    writeFileSync(join(this.directory, 'operator.json'), JSON.stringify({ rollout, duties }));
     for (const controller of this.controllers) {
       writeFileSync(this.configOf(controller.name), this.settingsOf(controller));
       this.spawn(controller, build);
@@ -161,6 +174,11 @@
     });
   }
 
+  /** Stops or continues the process, which does not notice. */
+  signal(name: string, signal: 'SIGSTOP' | 'SIGCONT'): void {
+    this.named(name).process?.kill(signal);
+  }
+
   /** Ends the process without a signal that it could answer, and starts the other build. */
   async replace(name: string, build: BuildName): Promise<void> {
     const controller = this.named(name);
@@ -207,10 +225,19 @@
 
   /** `millring rollout ...`, with the settings of a controller. */
   rollout(name: string, ...args: string[]): Promise<CommandResult> {
-    const bundle = this.bundles.get('new')!;
+    return this.command('new', name, ['rollout', ...args]);
+  }
+
+  /** `millring duties ...`, with the settings of a controller. */
+  duties(name: string, ...args: string[]): Promise<CommandResult> {
+    return this.command('latest', name, ['duties', ...args]);
+  }
+
+  private command(build: BuildName, name: string, args: string[]): Promise<CommandResult> {
+    const bundle = this.bundles.get(build)!;
     const settings = ['--operator', join(this.directory, 'operator.json'), '--config', this.configOf(name)];
     return new Promise((done) => {
-      execFile(process.execPath, [bundle, 'rollout', ...args, ...settings], (error, stdout, stderr) => {
+      execFile(process.execPath, [bundle, ...args, ...settings], (error, stdout, stderr) => {
         done({ code: error ? Number(error.code) : 0, stdout, stderr });
       });
     });
--- /dev/null
+++ b/test/sim/duty-group.ts
@@ -0,0 +1,261 @@
+/** Controllers that share the duties, without anything else that controllers do: in virtual time, with all faults. */
+import assert from 'node:assert/strict';
+import {
+  DUTIES,
+  type Duty,
+  DutyMember,
+  type DutySettings,
+  type IntentAction,
+  IntentLog,
+  type Opened,
+} from '@millring/duties';
+import type { World } from '../../src/runtime.js';
+import { StateStore } from '../../src/state-store/client.js';
+import { VirtualClock } from './clock.js';
+import { DutyRules } from './duty-rules.js';
+import { FencedProvider, FencedProviderClient } from './fenced-provider.js';
+import { Network } from './network.js';
+import { type ProcessLife, processWorld } from './process-world.js';
+import { quietLog } from './quiet-log.js';
+import { SeededRandom } from './random.js';
+import { StateService } from './state-service.js';
+
+export const SETTINGS: DutySettings = {
+  mode: 'on',
+  held_here: [...DUTIES],
+  lease_s: 2,
+  settle_s: 4,
+  rebalance_s: 10,
+  retention_s: 5,
+  report_s: 60,
+};
+
+const STATE = 'state:1';
+const PROVIDER = 'provider:1';
+const DRIFT_AT_MOST = 1.001;
+const DAY_MS = 24 * 3600 * 1000;
+const STEP_S = 0.05;
+/** Stands for the claim of whoever decides. */
+const DECIDER_KEY = 'decider';
+
+interface Life extends ProcessLife {
+  member: DutyMember;
+}
+
+export interface DutyGroupConfig {
+  seed: number;
+  size?: number;
+  settings?: Partial<DutySettings>;
+  /** The controller that leads, and so has other work. */
+  leader?: string;
+}
+
+export class DutyGroup {
+  readonly clock = new VirtualClock();
+  readonly random: SeededRandom;
+  readonly net: Network;
+  readonly state: StateService;
+  readonly provider = new FencedProvider();
+  readonly rules: DutyRules;
+  readonly names: string[];
+  /** Lines of the log, by controller. */
+  readonly lines: { name: string; text: string; fields: object }[] = [];
+  private readonly lives = new Map<string, Life>();
+  private nextIntent = 1;
+  private readonly log: IntentLog;
+
+  constructor(private readonly config: DutyGroupConfig) {
+    this.names = Array.from({ length: config.size ?? 3 }, (_, i) => `n${i}`);
+    this.random = new SeededRandom(config.seed);
+    this.net = new Network(this.clock, this.random);
+    this.state = new StateService(this.clock, this.random, { rps: 200, writeRps: 40 });
+    this.net.hosts.set(STATE, { handler: (...request) => this.state.handle(...request), hangsUntil: 0 });
+    this.net.hosts.set(PROVIDER, { handler: this.provider.handle, hangsUntil: 0 });
+    this.state.plant(DECIDER_KEY, {});
+    this.rules = new DutyRules(this);
+    for (const name of this.names) this.start(name);
+    this.log = this.createLog();
+  }
+
+  private settings(): DutySettings {
+    return { ...SETTINGS, ...this.config.settings };
+  }
+
+  private world(name: string, life: ProcessLife, rate: number): World {
+    const note = (fields: object, text: string): void => {
+      this.lines.push({ name, text, fields });
+    };
+    return processWorld(`${name}:80`, life, {
+      clock: this.clock,
+      net: this.net,
+      random: this.random,
+      own: this.clock.host(rate, () => life.alive),
+      log: { ...quietLog, info: note, error: note },
+    });
+  }
+
+  start(name: string): void {
+    const life: ProcessLife = { alive: true, frozenUntil: 0 };
+    const member = this.createMember(name, life, this.settings());
+    this.lives.set(name, Object.assign(life, { member }));
+    member.run();
+  }
+
+  private createMember(name: string, life: ProcessLife, settings: DutySettings): DutyMember {
+    const world = this.world(name, life, this.random.between(1, DRIFT_AT_MOST));
+    // Clocks of day differ by days.
+    const offMs = this.random.between(-DAY_MS, DAY_MS);
+    return new DutyMember({
+      environment: {
+        clock: world.clock,
+        log: world.log,
+        random: () => world.random(),
+        wallMs: () => 1e12 + this.clock.time + offMs,
+      },
+      store: this.storeOf(world),
+      self: name,
+      process: `${name}-${this.clock.time}-${this.random.unit()}`,
+      settings,
+      provider: new FencedProviderClient({ http: world.http, address: PROVIDER }),
+      txnOps: 12,
+      mayHold: () => true,
+      leader: () => this.config.leader ?? null,
+    });
+  }
+
+  private storeOf(world: World): StateStore {
+    return new StateStore(world, { address: STATE, nodes: this.names.length, rps: 200, writeRps: 40 });
+  }
+
+  private createLog(): IntentLog {
+    const life: ProcessLife = { alive: true, frozenUntil: 0 };
+    const world = this.world(DECIDER_KEY, life, 1);
+    const follower = this.createMember(DECIDER_KEY, life, { ...this.settings(), held_here: [] });
+    follower.run();
+    return new IntentLog({
+      environment: { ...world, wallMs: () => 1e12 + this.clock.time },
+      store: this.storeOf(world),
+      view: follower.view,
+      active: () => true,
+      newId: () => `i-${this.nextIntent++}`,
+      guards: () => [{ key: DECIDER_KEY, version: this.state.items.get(DECIDER_KEY)!.version }],
+    });
+  }
+
+  /** Another one decides from now on. */
+  replaceDecider(): void {
+    this.state.plant(DECIDER_KEY, {});
+  }
+
+  open(duty: Duty, action: IntentAction): Promise<Opened> {
+    return this.log.open(duty, action);
+  }
+
+  /** Some machines of the provider are given back. */
+  delete(duty: 'return' | 'reclaim', ...machines: string[]): Promise<Opened> {
+    return this.open(duty, { kind: 'delete', machines });
+  }
+
+  rent(count: number): Promise<Opened> {
+    return this.open('rent', { kind: 'rent', type: 't16', zone: 'a', spot: false, count });
+  }
+
+  member(name: string): DutyMember {
+    return this.lives.get(name)!.member;
+  }
+
+  isUp(name: string): boolean {
+    return this.lives.get(name)!.alive;
+  }
+
+  isFrozen(name: string): boolean {
+    return this.lives.get(name)!.frozenUntil > this.clock.time;
+  }
+
+  crash(name: string, downMs: number): void {
+    const life = this.lives.get(name)!;
+    if (!life.alive) return;
+    life.alive = false;
+    this.clock.after(downMs, () => {
+      this.start(name);
+    });
+  }
+
+  freeze(name: string, ms: number): void {
+    this.lives.get(name)!.frozenUntil = this.clock.time + ms;
+  }
+
+  /** What the process asks of the provider is held, and arrives afterwards. */
+  holdRequests(name: string, ms: number): void {
+    this.net.cuts.push({
+      a: (host) => host === `${name}:80`,
+      b: (host) => host === PROVIDER,
+      until: this.clock.time + ms,
+      mode: 'hold',
+    });
+  }
+
+  /** The state service refuses this process alone. */
+  refuse(name: string, ms: number): void {
+    this.state.refuse(`${name}:80`, ms);
+  }
+
+  /** Whoever believes to hold the duty now. */
+  holder(duty: Duty): string | undefined {
+    return this.names.find(
+      (name) => this.isUp(name) && !this.isFrozen(name) && this.member(name).holder(duty).isHeld(),
+    );
+  }
+
+  /** What the records say. */
+  recorded(duty: Duty): { controller: string; token: number } | undefined {
+    return this.state.value(`duties/holders/${duty}`) as { controller: string; token: number } | undefined;
+  }
+
+  openIntents(): number {
+    const intents = [...this.state.items].filter(([key]) => key.startsWith('duties/intents/'));
+    return intents.filter(([, { value }]) => (value as { outcome: unknown }).outcome === null).length;
+  }
+
+  async run(seconds: number): Promise<void> {
+    await this.clock.runUntil(this.clock.time + seconds * 1000, () => {
+      this.rules.check();
+    });
+  }
+
+  async until(what: string, holds: () => boolean, withinS = 40): Promise<void> {
+    for (let waited = 0; waited < withinS; waited += STEP_S) {
+      if (holds()) return;
+      await this.run(STEP_S);
+    }
+    assert.fail(`not within ${withinS} s: ${what}`);
+  }
+
+  /** Every duty has a holder. */
+  async settled(): Promise<void> {
+    await this.until('all duties are held', () => DUTIES.every((duty) => this.holder(duty) !== undefined));
+  }
+}
+
+/** All duties are held. */
+export async function settledGroup(seed: number, config: Partial<DutyGroupConfig> = {}): Promise<DutyGroup> {
+  const group = new DutyGroup({ seed, ...config });
+  await group.settled();
+  return group;
+}
+
+/** Rents some machines, to be given back. */
+export async function withMachines(group: DutyGroup, count: number): Promise<string[]> {
+  let opened: Opened | null = null;
+  void group.rent(count).then((result) => (opened = result));
+  await group.until('machines are rented', () => opened !== null);
+  return [...group.provider.machines];
+}
+
+/** What the intent came to. */
+export async function resolved(group: DutyGroup, opened: Promise<Opened>): Promise<Opened> {
+  let result: Opened | null = null;
+  void opened.then((r) => (result = r));
+  await group.until('the intent is followed to its end', () => result !== null);
+  return result ?? assert.fail();
+}
--- /dev/null
+++ b/test/sim/duty-process.ts
@@ -0,0 +1,71 @@
+/** The main module of a process that shares the duties with others; tests suspend and continue it by signals. */
+import { performance } from 'node:perf_hooks';
+import { DutyMember } from '@millring/duties';
+import { outgoing } from '../../src/outgoing.js';
+import type { World } from '../../src/runtime.js';
+import { StateStore } from '../../src/state-store/client.js';
+import { SETTINGS } from './duty-group.js';
+import { FencedProviderClient } from './fenced-provider.js';
+import { quietLog } from './quiet-log.js';
+
+/** Handed over as JSON in the first argument. */
+export interface DutyProcessOptions {
+  name: string;
+  stateAddress: string;
+  providerAddress: string;
+  leaseS: number;
+  /** Between the check of the holder and the request. */
+  beforeSendingMs: number;
+}
+
+/** What the process tells its parent. */
+export type DutyProcessMessage =
+  { kind: 'state'; duty: string; to: string; token: number | null } | { kind: 'checked'; at: number };
+
+const SOCKETS = 16;
+
+function tell(message: DutyProcessMessage): void {
+  process.send?.(message);
+}
+
+function noteState(fields: object, text: string): void {
+  if (text !== 'duty') return;
+  const { duty, to, token } = fields as { duty: string; to: string; token?: number };
+  tell({ kind: 'state', duty, to, token: token ?? null });
+}
+
+function run(options: DutyProcessOptions): void {
+  const { name, stateAddress, providerAddress } = options;
+  const world: World = {
+    clock: {
+      now: () => performance.now(),
+      after: (ms, callback) => {
+        const timer = setTimeout(callback, ms);
+        return () => {
+          clearTimeout(timer);
+        };
+      },
+    },
+    http: outgoing([stateAddress, providerAddress], SOCKETS),
+    log: { ...quietLog, info: noteState },
+    random: () => Math.random(),
+  };
+  const beforeSending = async (): Promise<void> => {
+    tell({ kind: 'checked', at: performance.now() });
+    await new Promise((done) => setTimeout(done, options.beforeSendingMs));
+  };
+  const member = new DutyMember({
+    environment: { ...world, wallMs: () => Date.now() },
+    store: new StateStore(world, { address: stateAddress, nodes: 3, rps: 400, writeRps: 100 }),
+    self: name,
+    process: `${name}-${process.pid}`,
+    settings: { ...SETTINGS, lease_s: options.leaseS },
+    provider: new FencedProviderClient({ http: world.http, address: providerAddress, beforeSending }),
+    txnOps: 12,
+    mayHold: () => true,
+    leader: () => null,
+  });
+  member.run();
+}
+
+run(JSON.parse(process.argv[2]) as DutyProcessOptions);
--- /dev/null
+++ b/test/sim/duty-processes.ts
@@ -0,0 +1,129 @@
+/** Processes that share the duties, on loopback with their stand-ins. */
+import assert from 'node:assert/strict';
+import { type ChildProcess, fork } from 'node:child_process';
+import type { Server } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+import { type Duty, type Intent, intentKey } from '@millring/duties';
+import { VirtualClock } from './clock.js';
+import type { DutyProcessMessage, DutyProcessOptions } from './duty-process.js';
+import { FencedProvider } from './fenced-provider.js';
+import { end, followSteadyClock, serveOnLoopback } from './loopback.js';
+import { SeededRandom } from './random.js';
+import { StateService } from './state-service.js';
+
+const MAIN = fileURLToPath(new URL('./duty-process.js', import.meta.url));
+const NAMES = ['n0', 'n1', 'n2'];
+export const LEASE_S = 2;
+/** No test asks how fast anything is: whoever waits for longer than this has a fault, not a slow machine. */
+const PATIENCE_MS = 120_000;
+/** The duty that is looked at. */
+export const DUTY: Duty = 'return';
+
+export class DutyProcesses {
+  readonly provider = new FencedProvider();
+  readonly state: StateService;
+  private readonly clock = new VirtualClock();
+  private readonly servers: Server[] = [];
+  private readonly children = new Map<string, ChildProcess>();
+  private readonly messages: { name: string; message: DutyProcessMessage }[] = [];
+  private stopped = false;
+
+  constructor() {
+    this.state = new StateService(this.clock, new SeededRandom(1));
+  }
+
+  async start(beforeSendingMs: number): Promise<void> {
+    const state = await serveOnLoopback((...request) => this.state.handle(...request));
+    const provider = await serveOnLoopback(this.provider.handle);
+    this.servers.push(state.server, provider.server);
+    void followSteadyClock(this.clock, () => this.stopped);
+    for (const name of NAMES)
+      this.fork({
+        name,
+        stateAddress: state.address,
+        providerAddress: provider.address,
+        leaseS: LEASE_S,
+        beforeSendingMs,
+      });
+    await this.until('somebody holds the duty', () => this.recorded() !== undefined);
+  }
+
+  private fork(options: DutyProcessOptions): void {
+    const child = fork(MAIN, [JSON.stringify(options)]);
+    child.on('message', (message) => {
+      this.messages.push({ name: options.name, message: message as DutyProcessMessage });
+    });
+    this.children.set(options.name, child);
+  }
+
+  signal(name: string, signal: 'SIGSTOP' | 'SIGCONT' | 'SIGKILL'): void {
+    this.children.get(name)!.kill(signal);
+  }
+
+  recorded(): { controller: string; token: number } | undefined {
+    return this.state.value(`duties/holders/${DUTY}`) as { controller: string; token: number } | undefined;
+  }
+
+  /** As a leader stores it. */
+  plantDeletion(id: string, machine: string): void {
+    const intent: Intent = {
+      id,
+      duty: DUTY,
+      action: { kind: 'delete', machines: [machine] },
+      openedMs: 0,
+      outcome: null,
+      token: null,
+    };
+    this.provider.machines.add(machine);
+    this.state.plant(intentKey(id), intent);
+  }
+
+  intent(id: string): Intent | undefined {
+    return this.state.value(intentKey(id)) as Intent | undefined;
+  }
+
+  isDone(id: string): boolean {
+    return (this.intent(id)?.outcome ?? null) !== null;
+  }
+
+  /** States of the duty at the process, in order. */
+  states(name: string): string[] {
+    return this.messages.flatMap(({ name: from, message }) =>
+      from === name && message.kind === 'state' && message.duty === DUTY ? [message.to] : [],
+    );
+  }
+
+  /** How often the process has passed the check of the holder. */
+  checks(name: string): number {
+    return this.messages.filter(({ name: from, message }) => from === name && message.kind === 'checked')
+      .length;
+  }
+
+  async until(what: string, holds: () => boolean): Promise<void> {
+    const giveUpAt = performance.now() + PATIENCE_MS;
+    while (performance.now() < giveUpAt) {
+      if (holds()) return;
+      await delay(20);
+    }
+    assert.fail(`in vain: ${what}`);
+  }
+
+  /** Another process has taken the duty; its name. */
+  async untilReplaced(old: string, token: number): Promise<void> {
+    await this.until('a successor holds the duty', () => {
+      const now = this.recorded();
+      return now !== undefined && now.controller !== old && now.token > token;
+    });
+  }
+
+  async stop(): Promise<void> {
+    for (const child of this.children.values()) {
+      const ended = new Promise((done) => child.once('exit', done));
+      child.kill('SIGKILL');
+      await ended;
+    }
+    this.stopped = true;
+    for (const server of this.servers) end(server);
+  }
+}
--- /dev/null
+++ b/test/sim/fenced-provider.ts
@@ -0,0 +1,122 @@
+/** A machine provider that checks fencing tokens, and the client that duties reach it by. */
+import {
+  type DeleteResult,
+  type Duty,
+  type MachineProvider,
+  type Permit,
+  type RentAction,
+  type RentResult,
+  StaleTokenError,
+} from '@millring/duties';
+import type { Http, Reply } from '../../src/runtime.js';
+import { type Body, narrow } from '../../src/wire/cbor.js';
+import type { Handler } from './network.js';
+
+const PRECONDITION_FAILED = 412;
+const TIMEOUT_MS = 5000;
+
+/** A request as it was executed, or refused for its token. */
+export interface ProviderCall {
+  duty: Duty;
+  token: number;
+  /** Of a rental. */
+  request: string | null;
+  machines: string[];
+  executed: boolean;
+}
+
+/** How a provider fails for a while. */
+export interface ProviderTrouble {
+  /** Executes nothing. */
+  refuses: boolean;
+  /** Executes, but does not answer. */
+  silent: boolean;
+}
+
+/** Refuses a token that is lower than another that it has seen for the same duty. */
+export class FencedProvider {
+  readonly calls: ProviderCall[] = [];
+  readonly machines = new Set<string>();
+  trouble: ProviderTrouble = { refuses: false, silent: false };
+  /** Between the arrival of a request and its execution. */
+  delay: () => Promise<void> = () => Promise.resolve();
+  private readonly newest = new Map<Duty, number>();
+  private readonly rented = new Map<string, string[]>();
+  private nextMachine = 1;
+
+  readonly handle: Handler = async (_method, path, body) => {
+    await this.delay();
+    if (this.trouble.refuses) return { status: 503, body: {} };
+    const reply = this.execute(path, body);
+    return this.trouble.silent ? new Promise<Reply>(() => undefined) : reply;
+  };
+
+  executed(duty: Duty): ProviderCall[] {
+    return this.calls.filter((call) => call.executed && call.duty === duty);
+  }
+
+  refused(): ProviderCall[] {
+    return this.calls.filter((call) => !call.executed);
+  }
+
+  private execute(path: string, body: Body): Reply {
+    const duty = body.duty as Duty;
+    const token = narrow(body.token)!;
+    const newest = Math.max(token, this.newest.get(duty) ?? 0);
+    this.newest.set(duty, newest);
+    const request = path === '/rent' ? (body.request as string) : null;
+    const call: ProviderCall = { duty, token, request, machines: [], executed: token === newest };
+    this.calls.push(call);
+    if (!call.executed) return { status: PRECONDITION_FAILED, body: { newest } };
+    call.machines = request === null ? this.delete(body.machines as string[]) : this.rent(request, body);
+    return { status: 200, body: { machines: call.machines } };
+  }
+
+  private rent(request: string, body: Body): string[] {
+    const before = this.rented.get(request);
+    if (before) return before;
+    const names = Array.from({ length: narrow(body.count)! }, () => `p-${this.nextMachine++}`);
+    for (const name of names) this.machines.add(name);
+    this.rented.set(request, names);
+    return names;
+  }
+
+  private delete(names: string[]): string[] {
+    for (const name of names) this.machines.delete(name);
+    return names;
+  }
+}
+
+export interface FencedProviderClientOptions {
+  http: Http;
+  address: string;
+  /** Between the check of the holder and the request. */
+  beforeSending?: () => Promise<void>;
+}
+
+export class FencedProviderClient implements MachineProvider {
+  constructor(private readonly options: FencedProviderClientOptions) {}
+
+  mayCall(): boolean {
+    return true;
+  }
+
+  async rent(permit: Permit, request: string, action: RentAction): Promise<RentResult> {
+    const reply = await this.send(permit, '/rent', { request, count: action.count });
+    return reply ? { kind: 'rented', machines: reply.machines as string[] } : { kind: 'unavailable' };
+  }
+
+  async delete(permit: Permit, machines: readonly string[]): Promise<DeleteResult> {
+    const reply = await this.send(permit, '/delete', { machines: [...machines] });
+    return { kind: reply ? 'deleted' : 'unavailable' };
+  }
+
+  private async send({ duty, token }: Permit, path: string, body: Body): Promise<Body | null> {
+    await this.options.beforeSending?.();
+    const { http, address } = this.options;
+    const reply = await http.send(address, 'POST', path, { ...body, duty, token }, TIMEOUT_MS);
+    if (reply.status === PRECONDITION_FAILED)
+      throw new StaleTokenError(duty, token, narrow(reply.body.newest)!);
+    return reply.status === 200 ? reply.body : null;
+  }
+}
--- a/test/sim/loopback.ts
+++ b/test/sim/loopback.ts
@@ -67,6 +67,44 @@
   });
 }
 
+/** Serves a stand-in at a port, 0 for any that is free. */
+export async function serveOnLoopback(
+  handler: Handler,
+  port = 0,
+): Promise<{ server: Server; address: string }> {
+  const server = createServer((request, response) => {
+    const parts: Buffer[] = [];
+    request.on('data', (part: Buffer) => parts.push(part));
+    request.on('end', () => {
+      const body = decodeMap(Buffer.concat(parts)) ?? {};
+      const reply = handler(request.method ?? 'GET', request.url ?? '/', body, 'controller');
+      void Promise.resolve(reply).then(({ status, body: answer }) => {
+        response.writeHead(status, { 'content-type': 'application/cbor' }).end(encode(answer));
+      });
+    });
+  });
+  return { server, address: `${HOST}:${await listening(server, port)}` };
+}
+
+/** Ends a server and its connections. */
+export function end(server: Server): void {
+  server.close();
+  server.closeAllConnections();
+}
+
+/** Virtual time follows the steady clock until `stopped`. */
+export async function followSteadyClock(
+  clock: VirtualClock,
+  stopped: () => boolean,
+  check: () => void = () => undefined,
+): Promise<void> {
+  const startedAt = performance.now();
+  while (!stopped()) {
+    await clock.runUntil(performance.now() - startedAt, check);
+    await new Promise((done) => setTimeout(done, STEP_MS));
+  }
+}
+
 export class LoopbackStandIns {
   readonly clock = new VirtualClock();
   readonly rules: Rules;
@@ -133,15 +171,15 @@
       const toMachine: Handler = (...request) => this.toMachine(this.endpoints[index], request);
       this.endpoints.push(await this.serve(0, toMachine));
     }
-    void this.run(performance.now());
+    const isStopped = (): boolean => this.stopped;
+    void followSteadyClock(this.clock, isStopped, () => {
+      this.rules.check();
+    });
   }
 
   stop(): void {
     this.stopped = true;
-    for (const server of this.servers) {
-      server.close();
-      server.closeAllConnections();
-    }
+    for (const server of this.servers) end(server);
   }
 
   private toMachine(address: string, request: Parameters<Handler>): ReturnType<Handler> {
@@ -172,26 +210,8 @@
   }
 
   private async serve(port: number, handler: Handler): Promise<string> {
-    const server = createServer((request, response) => {
-      const parts: Buffer[] = [];
-      request.on('data', (part: Buffer) => parts.push(part));
-      request.on('end', () => {
-        const body = decodeMap(Buffer.concat(parts)) ?? {};
-        const reply = handler(request.method ?? 'GET', request.url ?? '/', body, 'controller');
-        void Promise.resolve(reply).then(({ status, body: answer }) => {
-          response.writeHead(status, { 'content-type': 'application/cbor' }).end(encode(answer));
-        });
-      });
-    });
-    this.servers.push(server);
-    return `${HOST}:${await listening(server, port)}`;
-  }
-
-  /** Virtual time follows the steady clock. */
-  private async run(startedAt: number): Promise<void> {
-    await this.clock.runUntil(performance.now() - startedAt, () => {
-      this.rules.check();
-    });
-    if (!this.stopped) setTimeout(() => void this.run(startedAt), STEP_MS);
+    const served = await serveOnLoopback(handler, port);
+    this.servers.push(served.server);
+    return served.address;
   }
 }
--- a/test/sim/play.ts
+++ b/test/sim/play.ts
@@ -18,8 +18,10 @@
 export async function play(
   config: ClusterConfig,
   troubles: (c: Cluster, second: number) => void,
+  prepare: (c: Cluster) => void = () => undefined,
 ): Promise<Outcome> {
   const c = new Cluster(config);
+  prepare(c);
   await c.run(4);
   for (let s = 0; s < 60; s++) {
     if (c.random.chance(0.25))
--- /dev/null
+++ b/test/sim/process-world.ts
@@ -0,0 +1,60 @@
+/** What the outside world is to a simulated process, which may end, or stand still while its clock runs on. */
+import type { Clock, Log, Reply, World } from '../../src/runtime.js';
+import type { VirtualClock } from './clock.js';
+import type { Network } from './network.js';
+import type { SeededRandom } from './random.js';
+
+export interface ProcessLife {
+  alive: boolean;
+  /** Stands still until then. */
+  frozenUntil: number;
+}
+
+export interface ProcessSurroundings {
+  clock: VirtualClock;
+  net: Network;
+  random: SeededRandom;
+  /** The process's own clock. */
+  own: Clock;
+  log: Log;
+  /** What the process makes of an answer; else the answer itself. */
+  seen?: ((path: string, reply: Reply) => Reply) | undefined;
+}
+
+/** Runs the callback once the process goes on, if it still lives then. */
+function onceThawed(life: ProcessLife, clock: VirtualClock, callback: () => void): void {
+  const left = life.frozenUntil - clock.time;
+  if (left > 0)
+    clock.after(left, () => {
+      onceThawed(life, clock, callback);
+    });
+  else if (life.alive) callback();
+}
+
+export function processWorld(host: string, life: ProcessLife, around: ProcessSurroundings): World {
+  const { clock, net, own, seen } = around;
+  const thawed = (callback: () => void): void => {
+    onceThawed(life, clock, callback);
+  };
+  return {
+    clock: {
+      now: () => own.now(),
+      after: (ms, callback) =>
+        own.after(ms, () => {
+          thawed(callback);
+        }),
+    },
+    http: {
+      send: (to, method, path, body, timeoutMs) =>
+        new Promise((done) => {
+          void net.send(host, to, method, path, body, timeoutMs).then((reply) => {
+            thawed(() => {
+              done(seen ? seen(path, reply) : reply);
+            });
+          });
+        }),
+    },
+    log: around.log,
+    random: () => around.random.unit(),
+  };
+}
--- /dev/null
+++ b/test/sim/roll.ts
@@ -0,0 +1,122 @@
+/** A simulated cluster whose controllers are replaced by other builds while jobs run. */
+import assert from 'node:assert/strict';
+import {
+  type Build,
+  type ClusterLevel,
+  type OperatorResult,
+  RolloutOperator,
+  type RolloutSettings,
+} from '@millring/rollout';
+import { BUILD, FEATURES } from '../../src/build.js';
+import { StateStore } from '../../src/state-store/client.js';
+import { Cluster, type ClusterConfig } from './cluster.js';
+import { BATCH } from './jobs.js';
+import { outsider } from './outsider.js';
+import { RolloutRules } from './rollout-rules.js';
+
+/** What ran before: it has the gate, and knows the base level only. */
+export const OLD: Build = { version: '0.0.9', reads: { from: 1, to: 1 }, writes: 1 };
+/** The levels of the first feature alone, so that a raised level stays where these tests look for it. */
+export const NEW: Build = { ...BUILD, reads: { from: 1, to: 2 }, writes: 2 };
+export const NAMES = ['n0', 'n1', 'n2'];
+
+export const SETTINGS: RolloutSettings = {
+  mode: 'automatic',
+  soak_s: 2,
+  stall_s: 15,
+  restarts: 3,
+  announcement_lease_s: 3,
+  ungated_builds_retired: false,
+};
+
+const STEP_S = 0.05;
+/** Longer than a change of level takes with nobody away. */
+export const ROLL_S = 15;
+
+export class Roll {
+  readonly cluster: Cluster;
+  readonly rules: RolloutRules;
+
+  constructor(seed: number, build: Build, config: Partial<ClusterConfig> = {}) {
+    const builds = Object.fromEntries(NAMES.map((name) => [name, build]));
+    this.cluster = new Cluster({ seed, ordinaryUp: 8, rollout: SETTINGS, builds, ...config });
+    this.rules = new RolloutRules(this.cluster);
+  }
+
+  /** What is stored, or the beginning. */
+  get level(): Pick<ClusterLevel, 'state' | 'active' | 'reason' | 'held'> {
+    return this.rules.level ?? { state: 'stable', active: 1, reason: null, held: null };
+  }
+
+  replace(name: string, build: Build, downMs = 500): void {
+    this.cluster.builds.set(name, build);
+    this.cluster.crash(name, downMs);
+  }
+
+  async until(what: string, holds: () => boolean, withinS = 40): Promise<void> {
+    for (let waited = 0; waited < withinS; waited += STEP_S) {
+      if (holds()) return;
+      await this.cluster.run(STEP_S);
+    }
+    assert.fail(`not within ${withinS} s: ${what}; ${JSON.stringify(this.level)}`);
+  }
+
+  reaches(state: ClusterLevel['state'], active: number): Promise<void> {
+    return this.until(`${state} ${active}`, () => this.level.state === state && this.level.active === active);
+  }
+
+  /** For so long the active level stays. */
+  async staysAt(active: number, seconds: number): Promise<void> {
+    for (let waited = 0; waited < seconds; waited += 1) {
+      await this.cluster.run(1);
+      assert.equal(this.level.active, active);
+    }
+  }
+
+  leader(): string {
+    return this.cluster.leader() ?? assert.fail('nobody leads');
+  }
+
+  follower(): string {
+    return NAMES.find((name) => name !== this.cluster.leader()) ?? assert.fail('nobody follows');
+  }
+
+  async ask(action: 'activate' | 'abort' | 'downgrade'): Promise<OperatorResult> {
+    const { cluster } = this;
+    const store = new StateStore(outsider(cluster), { address: 'state:1', nodes: 1, rps: 100, writeRps: 50 });
+    const operator = new RolloutOperator({
+      store,
+      controllers: NAMES,
+      registry: FEATURES,
+      settings: SETTINGS,
+      by: `operator-${cluster.clock.time}`,
+      wallMs: () => 1e12 + cluster.clock.time,
+    });
+    let result: OperatorResult | null = null;
+    void operator[action]().then((r) => (result = r));
+    await this.until('the command has ended', () => result !== null);
+    return result ?? assert.fail();
+  }
+
+  /** An array so large that its finished tasks are stored in segments under the new level. */
+  submitLarge(grindS = 0.5): string {
+    const body = this.cluster.jobBody({ ...BATCH, sacks: 2400, grind_s: grindS, miller: 't0' });
+    void this.cluster.user(body, null);
+    return String(body.id);
+  }
+
+  /** Nothing was broken, and all arrays end. */
+  async finish(): Promise<void> {
+    const { rules } = this.cluster;
+    const open = (): boolean =>
+      [...rules.jobs.values()].some((job) => job.spec.grind !== 'daemon' && job.toldDoneAt === null);
+    await this.until('all arrays are done', () => !open(), 120);
+    assert.deepEqual(rules.broken, []);
+  }
+}
+
+export const LARGE: Partial<ClusterConfig> = { ordinaryUp: 24, capacity: 24, teamLimit: 400 };
+
+export function withJobs(roll: Roll, count = 4): void {
+  for (let i = 0; i < count; i++) void roll.cluster.user(roll.cluster.jobBody({ ...BATCH, sacks: 6 }), null);
+}
