--- a/packages/duties/src/records.ts
+++ b/packages/duties/src/records.ts
@@ -1,4 +1,5 @@
 /** The records of duties in the state service, and the schemas that each is checked by where it enters. */
+import { type Parsed, parseRecord } from '@millring/state-access';
 import * as z from 'zod/mini';
 import { DUTIES, type Duty } from './duty.js';
 
@@ -103,17 +104,8 @@
 export type DeleteAction = Extract<IntentAction, { kind: 'delete' }>;
 export type Outcome = NonNullable<Intent['outcome']>;
 
-export type Parsed<T> = { kind: 'valid'; value: T } | { kind: 'invalid'; reason: string };
-
-function parse<T>(schema: z.ZodMiniType<T>, value: unknown): Parsed<T> {
-  const result = schema.safeParse(value);
-  if (result.success) return { kind: 'valid', value: result.data };
-  const issue = result.error.issues[0];
-  return { kind: 'invalid', reason: `${issue.path.join('.') || 'record'}: ${issue.message}` };
-}
-
-export const readHolder = (value: unknown): Parsed<HolderRecord> => parse(holderSchema, value);
-export const readToken = (value: unknown): Parsed<TokenRecord> => parse(tokenSchema, value);
-export const readHold = (value: unknown): Parsed<HoldRecord> => parse(holdSchema, value);
-export const readMember = (value: unknown): Parsed<MemberRecord> => parse(memberSchema, value);
-export const readIntent = (value: unknown): Parsed<Intent> => parse(intentSchema, value);
+export const readHolder = (value: unknown): Parsed<HolderRecord> => parseRecord(holderSchema, value);
+export const readToken = (value: unknown): Parsed<TokenRecord> => parseRecord(tokenSchema, value);
+export const readHold = (value: unknown): Parsed<HoldRecord> => parseRecord(holdSchema, value);
+export const readMember = (value: unknown): Parsed<MemberRecord> => parseRecord(memberSchema, value);
+export const readIntent = (value: unknown): Parsed<Intent> => parseRecord(intentSchema, value);
--- a/packages/duties/src/view.ts
+++ b/packages/duties/src/view.ts
@@ -1,5 +1,5 @@
 /** What is stored about duties, as a scan and the changes since then tell. Malformed records are never acted on. */
-import type { Environment, Pair, WatchEvent } from '@millring/state-access';
+import type { Environment, Pair, Parsed, WatchEvent } from '@millring/state-access';
 import { type Duty, isDuty } from './duty.js';
 import {
   HOLDERS,
@@ -10,7 +10,6 @@
   type Intent,
   MEMBERS,
   type MemberRecord,
-  type Parsed,
   TOKENS,
   type TokenRecord,
   readHold,
--- a/packages/rollout/src/records.ts
+++ b/packages/rollout/src/records.ts
@@ -1,4 +1,5 @@
 /** The rollout's records in the state service, and the schemas that each is checked by where it enters. */
+import { type Parsed, parseRecord } from '@millring/state-access';
 import * as z from 'zod/mini';
 import { BASE_LEVEL } from './levels.js';
 
@@ -110,15 +111,7 @@
   held: null,
 };
 
-export type Parsed<T> = { kind: 'valid'; value: T } | { kind: 'invalid'; reason: string };
-
-function parse<T>(schema: z.ZodMiniType<T>, value: unknown): Parsed<T> {
-  const result = schema.safeParse(value);
-  if (result.success) return { kind: 'valid', value: result.data };
-  const issue = result.error.issues[0];
-  return { kind: 'invalid', reason: `${issue.path.join('.') || 'record'}: ${issue.message}` };
-}
-
-export const readAnnouncement = (value: unknown): Parsed<Announcement> => parse(announcementSchema, value);
-export const readIncarnation = (value: unknown): Parsed<Incarnation> => parse(incarnationSchema, value);
-export const readClusterLevel = (value: unknown): Parsed<ClusterLevel> => parse(levelSchema, value);
+export const readAnnouncement = (value: unknown): Parsed<Announcement> =>
+  parseRecord(announcementSchema, value);
+export const readIncarnation = (value: unknown): Parsed<Incarnation> => parseRecord(incarnationSchema, value);
+export const readClusterLevel = (value: unknown): Parsed<ClusterLevel> => parseRecord(levelSchema, value);
--- a/packages/state-access/src/index.ts
+++ b/packages/state-access/src/index.ts
@@ -2,6 +2,7 @@
  * What packages need of the state service: linearizable reads, guarded atomic writes, leases and watches. The
  * program's own client is passed in; packages open no connection themselves.
  */
+export { type Parsed, parseRecord } from './parsed.js';
 
 /** The transaction is applied only if the key has this version; 0: the key does not exist. */
 export interface Guard {
--- a/src/command-outcome.ts
+++ b/src/command-outcome.ts
@@ -1,9 +1,9 @@
 /** How an operators' command ends. */
 
 /** Exit codes; 2 is for bad input. */
-export const EXIT_DONE = 0;
-export const EXIT_UNREACHABLE = 1;
-export const EXIT_REFUSED = 3;
+const EXIT_DONE = 0;
+const EXIT_UNREACHABLE = 1;
+const EXIT_REFUSED = 3;
 
 export interface CommandOutcome {
   exitCode: number;
@@ -12,3 +12,18 @@
 }
 
 export const UNREACHABLE_TEXT = 'the state service was not reached: nothing is known of the change';
+
+/** The results that commands of all packages have in common. */
+export type ResultKind = 'done' | 'status' | 'refused' | 'unreachable';
+
+export function exitCodeOf(kind: ResultKind): number {
+  switch (kind) {
+    case 'done':
+    case 'status':
+      return EXIT_DONE;
+    case 'refused':
+      return EXIT_REFUSED;
+    case 'unreachable':
+      return EXIT_UNREACHABLE;
+  }
+}
--- a/src/duties/command-line.ts
+++ b/src/duties/command-line.ts
@@ -6,13 +6,7 @@
   type DutyStatus,
   type DutyStatusResult,
 } from '@millring/duties';
-import {
-  type CommandOutcome,
-  EXIT_DONE,
-  EXIT_REFUSED,
-  EXIT_UNREACHABLE,
-  UNREACHABLE_TEXT,
-} from '../command-outcome.js';
+import { type CommandOutcome, UNREACHABLE_TEXT, exitCodeOf } from '../command-outcome.js';
 import type { World } from '../runtime.js';
 import type { PlatformSettings } from '../settings/platform.js';
 import { stateStoreOf } from '../state-store/client.js';
@@ -34,23 +28,11 @@
   const result =
     command.action === 'status' ? await operator.status() : await operator[command.action](command.duty);
   const text = command.json ? JSON.stringify(result) : asText(result, wallMs());
-  return { exitCode: exitCodeOf(result), text };
+  return { exitCode: exitCodeOf(result.kind), text };
 }
 
 type Result = DutyResult | DutyStatusResult;
 
-function exitCodeOf(result: Result): number {
-  switch (result.kind) {
-    case 'done':
-    case 'status':
-      return EXIT_DONE;
-    case 'refused':
-      return EXIT_REFUSED;
-    case 'unreachable':
-      return EXIT_UNREACHABLE;
-  }
-}
-
 function asText(result: Result, nowMs: number): string {
   switch (result.kind) {
     case 'done':
--- a/src/rollout/command-line.ts
+++ b/src/rollout/command-line.ts
@@ -1,13 +1,7 @@
 /** `millring rollout ...`: what operators see of the cluster level and do about it. */
 import { type OperatorResult, RolloutOperator, type StatusResult } from '@millring/rollout';
 import { FEATURES } from '../build.js';
-import {
-  type CommandOutcome,
-  EXIT_DONE,
-  EXIT_REFUSED,
-  EXIT_UNREACHABLE,
-  UNREACHABLE_TEXT,
-} from '../command-outcome.js';
+import { type CommandOutcome, UNREACHABLE_TEXT, exitCodeOf } from '../command-outcome.js';
 import type { World } from '../runtime.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { PlatformSettings } from '../settings/platform.js';
@@ -36,28 +30,13 @@
     by: `operator-${wallMs()}-${Math.floor(world.random() * 1e9)}`,
     wallMs,
   });
-  const format = command.json ? asJson : asText;
-  return outcomeOf(
-    command.action === 'status' ? await rollout.status() : await rollout[command.action](),
-    format,
-  );
+  const result = command.action === 'status' ? await rollout.status() : await rollout[command.action]();
+  const text = command.json ? asJson(result) : asText(result);
+  return { exitCode: exitCodeOf(result.kind), text };
 }
 
 type Result = OperatorResult | StatusResult;
 
-function outcomeOf(result: Result, format: (result: Result) => string): CommandOutcome {
-  const text = format(result);
-  switch (result.kind) {
-    case 'done':
-    case 'status':
-      return { exitCode: EXIT_DONE, text };
-    case 'refused':
-      return { exitCode: EXIT_REFUSED, text };
-    case 'unreachable':
-      return { exitCode: EXIT_UNREACHABLE, text };
-  }
-}
-
 function asJson(result: Result): string {
   if (result.kind !== 'status') return JSON.stringify(result);
   const { view, obstacle } = result;
--- /dev/null
+++ b/test/sim/cloud-watch.ts
@@ -0,0 +1,103 @@
+/** What must hold of the requests to the cloud while the duties are on, in a whole simulated cluster. */
+import { INTENTS, type Intent } from '@millring/duties';
+import type { Body } from '../../src/wire/cbor.js';
+import type { Cluster } from './cluster.js';
+
+const LEVEL = 3;
+/** As in the operators' file. */
+export const ROLLOUT = {
+  mode: 'manual',
+  announcement_lease_s: 3,
+  stall_s: 15,
+  ungated_builds_retired: true,
+} as const;
+export const SETTINGS = { mode: 'on', lease_s: 2, settle_s: 4, rebalance_s: 15, retention_s: 5 } as const;
+
+/** The level has been raised before the day begins. */
+export function plantLevel(cluster: Cluster): void {
+  cluster.state.plant('rollout/level', {
+    state: 'stable',
+    active: LEVEL,
+    target: null,
+    change: 8,
+    changedBy: 'n0',
+    sinceMs: 0,
+    reason: null,
+    startedWith: {},
+    held: null,
+  });
+}
+
+/** Looks at each request to the cloud as it is executed. */
+export class CloudWatch {
+  /** All intents that were ever stored. */
+  readonly intents = new Map<string, Intent>();
+  deletions = 0;
+  rentals = 0;
+  private revisionSeen = 0;
+
+  constructor(private readonly cluster: Cluster) {
+    const host = cluster.net.hosts.get('cloud:1')!;
+    const inner = host.handler!;
+    host.handler = (method, path, body, from) => {
+      this.asked(path, body);
+      return inner(method, path, body, from);
+    };
+    cluster.checks.push(() => {
+      this.readIntents();
+    });
+  }
+
+  private readIntents(): void {
+    const { state } = this.cluster;
+    if (state.revision === this.revisionSeen) return;
+    this.revisionSeen = state.revision;
+    for (const [key, { value }] of state.items)
+      if (key.startsWith(INTENTS)) this.intents.set(key.slice(INTENTS.length), value as Intent);
+    this.checkOpen();
+  }
+
+  /** No machine is to be deleted twice, and no pool rented from twice at a time, whoever leads. */
+  private checkOpen(): void {
+    const seen = new Set<string>();
+    for (const [key, { value }] of this.cluster.state.items) {
+      const intent = key.startsWith(INTENTS) ? (value as Intent) : null;
+      if (intent?.outcome !== null) continue;
+      for (const subject of subjectsOf(intent)) {
+        if (seen.has(subject)) this.cluster.rules.break('opened_twice', subject);
+        seen.add(subject);
+      }
+    }
+  }
+
+  private asked(path: string, body: Body): void {
+    this.readIntents();
+    if (path === '/machines/delete') this.deleted(body.stones as string[]);
+    if (path === '/machines') this.rented(body.hire as string);
+  }
+
+  private rented(request: string): void {
+    this.rentals++;
+    if (this.intents.get(request)?.action.kind !== 'rent')
+      this.cluster.rules.break('rented_without_intent', request);
+  }
+
+  private deleted(machines: string[]): void {
+    this.deletions++;
+    const { rules, cloud } = this.cluster;
+    const intents = [...this.intents.values()].filter(
+      ({ action }) => action.kind === 'delete' && machines.every((id) => action.machines.includes(id)),
+    );
+    if (intents.length === 0) rules.break('deleted_without_intent', machines.join(', '));
+    // Machines that nothing needs are empty; only silent ones may have had work.
+    if (intents.some(({ duty }) => duty === 'reclaim')) return;
+    for (const places of rules.on.values())
+      for (const { machine } of places)
+        if (machines.includes(machine) && cloud.machines.has(machine))
+          rules.break('returned_with_work', machine);
+  }
+}
+
+function subjectsOf({ action }: Intent): string[] {
+  return action.kind === 'delete' ? action.machines : [`${action.type} ${action.zone} ${action.spot}`];
+}
--- a/test/sim/duty-processes.ts
+++ b/test/sim/duty-processes.ts
@@ -119,6 +119,7 @@
 
   async stop(): Promise<void> {
     for (const child of this.children.values()) {
+      if (child.exitCode !== null || child.signalCode !== null) continue;
       const ended = new Promise((done) => child.once('exit', done));
       child.kill('SIGKILL');
       await ended;
