Duties spread from the start, a lost watch costs 3 s; settings read as tagged results

Change: nobody acquires within a second of joining; watches wait 3 s. readOperatorSettings gives a tagged result instead of a text or settings; names in fleet.ts are written out.

--- a/packages/duties/src/member.ts
+++ b/packages/duties/src/member.ts
@@ -38,9 +38,12 @@
 }
 
 const TICK_MS = 100;
-const WATCH_MS = 10_000;
+/** An answer that is lost costs this and the client's timeout: so long an operator's hold may go unnoticed. */
+const WATCH_MS = 3000;
 const RETRY_MS = 300;
 const ACQUIRE_RETRY_MS = 500;
+/** Those that start or are turned on together see each other before the first of them acquires anything. */
+const JOIN_MS = 1000;
 
 interface Seen {
   process: string;
@@ -234,7 +237,7 @@
       if (holder.state() === 'vacant') void holder.releaseStray();
       return;
     }
-    if (!this.deps.settings.held_here.includes(duty)) return;
+    if (!this.deps.settings.held_here.includes(duty) || !this.hasJoined(now)) return;
     const since = this.vacantSince.get(duty) ?? now;
     this.vacantSince.set(duty, since);
     if (now - since < this.acquisitionDelayMs(duty, now)) return;
@@ -243,6 +246,11 @@
     void holder.acquire();
   }
 
+  private hasJoined(now: number): boolean {
+    const self = this.membersSeen.get(this.deps.self);
+    return self !== undefined && now - self.since >= JOIN_MS;
+  }
+
   /** Whoever just had the duty goes last: it was taken away for a reason. */
   private acquisitionDelayMs(duty: Duty, now: number): number {
     const members = this.memberViews();
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -33,7 +33,7 @@
   /** We are behind ourselves: what seems silent may just wait unread. */
   behind(): boolean;
   /** Answered 200: the machine and everything on it are gone. */
-  gone(m: Machine): void;
+  gone(machine: Machine): void;
 }
 
 const REFUSED_MS = 12_000;
@@ -83,16 +83,16 @@
   }
 
   /** Its zone is cut off, as far as was seen. */
-  isLost(m: Machine): boolean {
-    return this.silence.isLost(m.zone);
+  isLost(machine: Machine): boolean {
+    return this.silence.isLost(machine.zone);
   }
 
-  isOverdue(m: Machine, now: number): boolean {
-    return this.silence.isOverdue(m, now);
+  isOverdue(machine: Machine, now: number): boolean {
+    return this.silence.isOverdue(machine, now);
   }
 
-  isSilent(m: Machine, now: number): boolean {
-    return this.silence.isSilent(m, now);
+  isSilent(machine: Machine, now: number): boolean {
+    return this.silence.isSilent(machine, now);
   }
 
   isGone(id: string): boolean {
@@ -107,15 +107,16 @@
     const dead = [...this.silence.deadMachines(now), ...this.neverUp(now)];
     if (dead.length > 0) void this.remove(dead, 'reclaim', 'silent or never up');
     // A new leader does not know yet which zones are cut off: what it rented there would be missing elsewhere.
-    const known = now - this.tookOverAt > FIRST_LOOK_MS || ![...this.deps.table.all()].some((m) => m.suspect);
+    const known =
+      now - this.tookOverAt > FIRST_LOOK_MS || ![...this.deps.table.all()].some((machine) => machine.suspect);
     if (known) this.plan(now);
   }
 
   /** Rented long ago, and not heard or listed as running since. */
   private neverUp(now: number): Machine[] {
-    return [...this.deps.table.all()].filter((m) => {
-      if (m.reported || m.stored || m.expired || m.deleting) return false;
-      return now - (m.rentedAt ?? now) > BOOT_FACTOR * m.type.bootS * 1000 + BOOT_SLACK_MS;
+    return [...this.deps.table.all()].filter((machine) => {
+      if (machine.reported || machine.stored || machine.expired || machine.deleting) return false;
+      return now - (machine.rentedAt ?? now) > BOOT_FACTOR * machine.type.bootS * 1000 + BOOT_SLACK_MS;
     });
   }
 
@@ -133,24 +134,25 @@
     if (!list || !this.deps.leads()) return;
     const t = this.deps.world.clock.now();
     const failed: Machine[] = [];
-    for (const l of list) {
-      if (this.goneIds.has(l.id)) continue;
-      let m = table.get(l.id);
-      if (!m) {
-        const type = types.find((x) => x.name === l.type);
+    for (const listed of list) {
+      if (this.goneIds.has(listed.id)) continue;
+      let machine = table.get(listed.id);
+      if (!machine) {
+        const type = types.find((candidate) => candidate.name === listed.type);
         if (!type) continue;
-        m = table.add(l.id, l.endpoint, type, l.zone, l.spot, t);
-        m.rentedAt = t - l.ageS * 1000;
+        machine = table.add(listed.id, listed.endpoint, type, listed.zone, listed.spot, t);
+        machine.rentedAt = t - listed.ageS * 1000;
         // Up for long, but not among the stored ones: a former leader saw its lease run out. It may come back.
-        m.expired = l.state === 'running' && l.ageS > BOOT_FACTOR * type.bootS;
+        machine.expired = listed.state === 'running' && listed.ageS > BOOT_FACTOR * type.bootS;
       }
-      m.listedAt = t;
-      if (!m.endpoint) m.endpoint = l.endpoint;
-      if (l.state === 'failed') failed.push(m);
+      machine.listedAt = t;
+      if (!machine.endpoint) machine.endpoint = listed.endpoint;
+      if (listed.state === 'failed') failed.push(machine);
     }
     // A long list takes seconds to read: its first page may tell of the time before that.
-    for (const m of table.all())
-      m.unlisted = m.listedAt !== t && now - (m.rentedAt ?? this.tookOverAt) > this.listAgeMs();
+    for (const machine of table.all())
+      machine.unlisted =
+        machine.listedAt !== t && now - (machine.rentedAt ?? this.tookOverAt) > this.listAgeMs();
     if (failed.length > 0) void this.remove(failed, 'reclaim', 'failed');
   }
 
@@ -161,22 +163,22 @@
 
   async remove(machines: Machine[], purpose: DeletionPurpose, why: string): Promise<void> {
     const { actions, world } = this.deps;
-    const left = machines.filter((m) => !m.deleting);
-    const batch = left.slice(0, actions.mostDeleted(left.map((m) => m.id)));
+    const left = machines.filter((machine) => !machine.deleting);
+    const batch = left.slice(0, actions.mostDeleted(left.map((machine) => machine.id)));
     if (batch.length === 0 || !actions.mayBegin() || !this.deps.leads()) return;
-    const ids = batch.map((m) => m.id);
+    const ids = batch.map((machine) => machine.id);
     world.log.info({ ids, why }, 'deleting machines');
-    for (const m of batch) m.deleting = true;
+    for (const machine of batch) machine.deleting = true;
     await this.settleDeletion(batch, actions.delete(ids, purpose));
   }
 
   private async settleDeletion(machines: Machine[], done: Promise<boolean>): Promise<void> {
     const ok = await done;
-    for (const m of machines) {
-      m.deleting = false;
+    for (const machine of machines) {
+      machine.deleting = false;
       if (!ok) continue;
-      this.goneIds.add(m.id);
-      this.deps.gone(m);
+      this.goneIds.add(machine.id);
+      this.deps.gone(machine);
     }
   }
 
@@ -184,11 +186,11 @@
   takeOverDeletion(ids: readonly string[], done: Promise<boolean>): void {
     const known: Machine[] = [];
     for (const id of ids) {
-      const m = this.deps.table.get(id);
-      if (m) known.push(m);
+      const machine = this.deps.table.get(id);
+      if (machine) known.push(machine);
       else this.goneIds.add(id);
     }
-    for (const m of known) m.deleting = true;
+    for (const machine of known) machine.deleting = true;
     void this.settleDeletion(known, done);
   }
 
@@ -227,23 +229,29 @@
   }
 
   /** It is up or on its way, and will stay. */
-  private countsAsCapacity(m: Machine, now: number): boolean {
-    if (m.deleting || m.noticeUntil !== null || (m.draining && m.draining !== 'surplus')) return false;
-    return !this.isSilent(m, now) && (m.reported || !this.silence.isLost(m.zone));
+  private countsAsCapacity(machine: Machine, now: number): boolean {
+    if (
+      machine.deleting ||
+      machine.noticeUntil !== null ||
+      (machine.draining && machine.draining !== 'surplus')
+    )
+      return false;
+    return !this.isSilent(machine, now) && (machine.reported || !this.silence.isLost(machine.zone));
   }
 
   private plan(now: number): void {
     const { deps } = this;
-    for (const p of this.pools.values()) p.count = 0;
-    for (const m of deps.table.all()) {
-      const pool = this.pools.get(this.key(m.type.name, m.zone, m.spot));
-      if (pool && this.countsAsCapacity(m, now)) pool.count++;
+    for (const pool of this.pools.values()) pool.count = 0;
+    for (const machine of deps.table.all()) {
+      const pool = this.pools.get(this.key(machine.type.name, machine.zone, machine.spot));
+      if (pool && this.countsAsCapacity(machine, now)) pool.count++;
     }
     const pools = [...this.pools.values()];
-    for (const p of pools)
-      if (this.silence.isShunned(p.zone, now)) p.refusedUntil = Math.max(p.refusedUntil, now + PLAN_MS);
+    for (const pool of pools)
+      if (this.silence.isShunned(pool.zone, now))
+        pool.refusedUntil = Math.max(pool.refusedUntil, now + PLAN_MS);
     const up = (spot: boolean): number =>
-      pools.filter((p) => p.spot === spot).reduce((n, p) => n + p.count * p.type.cpus, 0);
+      pools.filter((pool) => pool.spot === spot).reduce((n, pool) => n + pool.count * pool.type.cpus, 0);
     const demand = this.smooth(deps.demand(), up(false) + up(true));
     deps.world.log.debug(
       { ordinary: demand.ordinary, any: demand.any, haveOrdinary: up(false), haveSpot: up(true) },
@@ -258,7 +266,11 @@
   /** Spare machines are insurance only while there is work: with none at all, what stood empty for long goes back. */
   private returnUnneeded(now: number): void {
     const empty = [...this.deps.table.all()].filter(
-      (m) => m.reported && !m.deleting && m.usedCpus < 1e-6 && now - m.emptySince > UNNEEDED_MS,
+      (machine) =>
+        machine.reported &&
+        !machine.deleting &&
+        machine.usedCpus < 1e-6 &&
+        now - machine.emptySince > UNNEEDED_MS,
     );
     if (empty.length > 0) void this.remove(empty, 'return', 'no work at all');
   }
@@ -288,8 +300,8 @@
     if (r.kind === 'rented') {
       for (const id of r.ids) {
         if (deps.table.get(id) || this.goneIds.has(id)) continue;
-        const m = deps.table.add(id, '', pool.type, pool.zone, pool.spot, now);
-        m.rentedAt = now;
+        const machine = deps.table.add(id, '', pool.type, pool.zone, pool.spot, now);
+        machine.rentedAt = now;
       }
     }
     if (r.kind !== 'rented' || r.ids.length < count)
@@ -298,11 +310,12 @@
 
   private returnSurplus(now: number, demand: Demand): void {
     const { table, operator } = this.deps;
-    const up = [...table.all()].filter((m) => m.reported && !m.deleting);
+    const up = [...table.all()].filter((machine) => machine.reported && !machine.deleting);
     markSurplus(up, targets(demand, true, operator.spare_share), now);
     const idleMs = operator.idle_return_s * 1000;
     const empty = up.filter(
-      (m) => m.draining === 'surplus' && m.usedCpus < 1e-6 && now - m.emptySince > idleMs,
+      (machine) =>
+        machine.draining === 'surplus' && machine.usedCpus < 1e-6 && now - machine.emptySince > idleMs,
     );
     if (empty.length > 0) void this.remove(empty, 'return', 'surplus');
   }
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -56,18 +56,22 @@
   deployments?: { locations: string[]; settings: object }[];
 }
 
+/** `invalid`: one line that names the field at fault. */
+export type ReadSettings =
+  { kind: 'valid'; settings: OperatorSettings } | { kind: 'invalid'; reason: string };
+
 /**
- * Settings, or one line that names the field at fault. One file serves all deployments: what it says under
+ * Settings, or the field at fault. One file serves all deployments: what it says under
  * `deployments` for the location of this node goes before what it says for all.
  */
-export function readOperatorSettings(input: unknown, location = ''): OperatorSettings | string {
+export function readOperatorSettings(input: unknown, location = ''): ReadSettings {
   const ajv = new Ajv({ useDefaults: true });
-  const fault = (validate: ReturnType<Ajv['compile']>, path: string): string => {
-    const e = validate.errors?.[0];
-    if (!e) return `${path}file: invalid`;
-    const extra = (e.params as { additionalProperty?: string }).additionalProperty;
-    const field = `${path}${(extra ?? e.instancePath.slice(1)) || 'file'}`;
-    return `${field}: ${extra ? 'unknown field' : e.message}`;
+  const fault = (validate: ReturnType<Ajv['compile']>, path: string): ReadSettings => {
+    const error = validate.errors?.[0];
+    if (!error) return { kind: 'invalid', reason: `${path}file: invalid` };
+    const extra = (error.params as { additionalProperty?: string }).additionalProperty;
+    const field = `${path}${(extra ?? error.instancePath.slice(1)) || 'file'}`;
+    return { kind: 'invalid', reason: `${field}: ${extra ? 'unknown field' : error.message}` };
   };
   const isFile = ajv.compile(wrapper);
   if (!isFile(input)) return fault(isFile, '');
@@ -80,9 +84,11 @@
     if (d.locations.includes(location)) chosen = { ...common, ...d.settings };
   }
   isSettings(chosen);
-  return chosen as OperatorSettings;
+  return { kind: 'valid', settings: chosen as OperatorSettings };
 }
 
 export function defaultOperatorSettings(): OperatorSettings {
-  return readOperatorSettings({}) as OperatorSettings;
+  const read = readOperatorSettings({});
+  if (read.kind === 'invalid') throw new Error(`defaults: ${read.reason}`);
+  return read.settings;
 }
--- a/test/duties.test.ts
+++ b/test/duties.test.ts
@@ -20,6 +20,10 @@
   const group = await settledGroup(1);
   const holders = DUTIES.map((duty) => group.recorded(duty)?.controller);
   assert.equal(new Set(holders).size, 3);
+  assert.ok(
+    DUTIES.every((duty) => group.recorded(duty)?.token === 1),
+    'spread from the start, without a move',
+  );
   const [machine] = await withMachines(group, 2);
   const opened = await resolved(group, group.delete('return', machine));
   assert.deepEqual(opened, { kind: 'resolved', outcome: { kind: 'deleted' } });
