--- a/packages/duties/src/membership.ts
+++ b/packages/duties/src/membership.ts
@@ -21,10 +21,14 @@
 const RENEWALS_PER_LEASE = 4;
 const RETRY_MS = 200;
 
+type MembershipState = 'out' | 'in' | 'leaving';
+
 export class Membership {
   private lease: number | null = null;
   private validUntil = -Infinity;
-  private state: 'out' | 'in' | 'leaving' = 'out';
+  private state: MembershipState = 'out';
+  /** Counts the times that this process has joined. */
+  private term = 0;
 
   constructor(private readonly deps: MembershipDependencies) {}
 
@@ -46,14 +50,15 @@
   async run(): Promise<void> {
     if (this.state !== 'out') return;
     this.state = 'in';
+    const term = ++this.term;
     const { environment, leaseMs } = this.deps;
-    while (this.isMember()) {
-      if (this.lease === null && !(await this.join())) {
+    while (this.isMember(term)) {
+      if (this.lease === null && !(await this.join(term))) {
         await sleep(environment, RETRY_MS * (1 + environment.random()));
         continue;
       }
       await sleep(environment, leaseMs / RENEWALS_PER_LEASE);
-      if (this.isMember()) await this.renew();
+      if (this.isMember(term)) await this.renew();
     }
   }
 
@@ -68,11 +73,12 @@
     this.state = 'out';
   }
 
-  private isMember(): boolean {
-    return this.state === 'in';
+  /** Not for a loop of an earlier term that has slept while this process left and joined again. */
+  private isMember(term: number): boolean {
+    return this.state === 'in' && this.term === term;
   }
 
-  private async join(): Promise<boolean> {
+  private async join(term: number): Promise<boolean> {
     const { environment, store, self, process, leaseMs, duties } = this.deps;
     const sent = environment.clock.now();
     const lease = await store.openLease(leaseMs);
@@ -81,7 +87,7 @@
       [],
       [{ put: memberKey(self), value: { process, duties: [...duties] }, lease }],
     );
-    if (result.kind === 'applied' && this.isMember()) {
+    if (result.kind === 'applied' && this.isMember(term)) {
       this.lease = lease;
       this.setValid(sent);
       return true;
--- a/test/duties.test.ts
+++ b/test/duties.test.ts
@@ -218,6 +218,60 @@
   assert.ok(![...group.state.items.keys()].some((key) => key.startsWith('duties/intents/')));
 });
 
+// Guards: suspended is not lost. The lease lives while its renewals are executed, answered or not.
+test('renewals that are executed and not answered: nothing is done, nobody takes over, and the holder goes on', async () => {
+  const group = await settledGroup(36);
+  const holder = group.holder('return') ?? assert.fail();
+  const before = group.recorded('return');
+  group.holdAnswers(holder, 5000);
+  await group.run(4);
+  assert.equal(group.holder('return'), undefined);
+  assert.equal(group.member(holder).holder('return').state(), 'suspended');
+  await group.run(4);
+  assert.deepEqual([group.holder('return'), group.recorded('return')], [holder, before]);
+  assert.deepEqual(group.rules.broken, []);
+});
+
+// Guards: the version of the holder's record among the conditions of its removal.
+test('a release that is carried out late does not take the duty from its next holder', async () => {
+  const group = await settledGroup(37);
+  const old = group.holder('return') ?? assert.fail();
+  group.state.lateWrites = {
+    share: 1,
+    until: group.clock.time + 500,
+    byMs: 9000,
+    keys: 'duties/holders/return',
+  };
+  void group.member(old).holder('return').release('by the test');
+  await group.until('another holds it', () => (group.holder('return') ?? old) !== old);
+  const next = group.recorded('return');
+  await group.run(12);
+  assert.deepEqual(group.recorded('return'), next);
+  assert.deepEqual(group.rules.broken, []);
+});
+
+// Guards: the term of a membership. Each time that the duties are turned on, one loop renews one lease.
+test('duties that are turned off and on again and again: handed over in order, renewed as often as before', async () => {
+  const group = await settledGroup(38);
+  await group.run(20);
+  const renewalsIn = async (seconds: number): Promise<number> => {
+    const before = group.state.asked.requests;
+    await group.run(seconds);
+    return group.state.asked.requests - before;
+  };
+  const usual = await renewalsIn(20);
+  for (let round = 0; round < 20; round++) {
+    group.turnedOff.add('n1');
+    await group.run(group.random.between(0.12, 0.25));
+    group.turnedOff.delete('n1');
+    await group.run(group.random.between(0.1, 0.5));
+  }
+  await group.run(30);
+  const after = await renewalsIn(20);
+  assert.ok(after < 1.15 * usual, `${after} requests where there were ${usual}`);
+  assert.deepEqual(group.rules.broken, []);
+});
+
 test('an outage for all: nothing is done in it, and holders go on after it where their leases live', async () => {
   const group = await settledGroup(10);
   const machines = await withMachines(group, 2);
--- a/test/sim/duty-group.ts
+++ b/test/sim/duty-group.ts
@@ -61,6 +61,8 @@
   /** Lines of the log, by controller. */
   readonly lines: { name: string; text: string; fields: object }[] = [];
   private readonly lives = new Map<string, Life>();
+  /** Controllers whose duties are off at the moment. */
+  readonly turnedOff = new Set<string>();
   private nextIntent = 1;
   private readonly log: IntentLog;
 
@@ -118,7 +120,7 @@
       settings,
       provider: new FencedProviderClient({ http: world.http, address: PROVIDER }),
       txnOps: 12,
-      mayHold: () => true,
+      mayHold: () => !this.turnedOff.has(name),
       leader: () => this.config.leader ?? null,
     });
   }
@@ -195,6 +197,17 @@
     });
   }
 
+  /** What the state service answers this process is held; what it asks is executed. */
+  holdAnswers(name: string, ms: number): void {
+    this.net.cuts.push({
+      a: (host) => host === STATE,
+      b: (host) => host === `${name}:80`,
+      until: this.clock.time + ms,
+      mode: 'hold',
+      oneWay: true,
+    });
+  }
+
   /** The state service refuses this process alone. */
   refuse(name: string, ms: number): void {
     this.state.refuse(`${name}:80`, ms);
