Last reading: one environment, fewer states and exports, no idle member

The packages' environment was made in two slices, the name of an operator's run in two commands, the test for an open intent in two modules and the list of stored segments in two tests; the first scan of the duties was written beside the reload. With the rollout off the member of the duties still woke ten times a second.

Change: environmentOf, operatorName, DutiesView.isOpen, segmentsIn and DutyHolder.mayBeHeld serve both sides; what nobody calls is gone; a member runs only where the level may ever change. Behaviour stays, and no assertion of a test is changed.

--- a/packages/duties/src/executor.ts
+++ b/packages/duties/src/executor.ts
@@ -1,5 +1,6 @@
 /** Performs the open intents of the duties that this process holds. */
 import type { Environment, StateAccess } from '@millring/state-access';
+import type { Duty } from './duty.js';
 import type { DutyHolder } from './holder.js';
 import type { Permit } from './permit.js';
 import type { MachineProvider } from './provider.js';
@@ -11,7 +12,7 @@
   store: StateAccess;
   view: DutiesView;
   provider: MachineProvider;
-  holderOf(duty: Intent['duty']): DutyHolder | null;
+  holderOf(duty: Duty): DutyHolder;
 }
 
 const FIRST_RETRY_MS = 500;
@@ -42,7 +43,7 @@
       if (intent.value.outcome !== null) continue;
       const holder = this.deps.holderOf(intent.value.duty);
       const attempt = this.attempts.get(id) ?? newAttempt();
-      if (!holder?.isHeld() || attempt.inFlight || now < attempt.notBefore) continue;
+      if (!holder.isHeld() || attempt.inFlight || now < attempt.notBefore) continue;
       if (this.inFlight() >= MOST_IN_FLIGHT) return;
       if (attempt.outcome === null && !provider.mayCall()) return;
       this.attempts.set(id, attempt);
@@ -57,10 +58,7 @@
   }
 
   private forgetResolved(): void {
-    for (const id of this.attempts.keys()) {
-      const entry = this.deps.view.intent(id);
-      if (entry.kind !== 'present' || entry.value.outcome !== null) this.attempts.delete(id);
-    }
+    for (const id of this.attempts.keys()) if (!this.deps.view.isOpen(id)) this.attempts.delete(id);
   }
 
   private async run(
--- a/packages/duties/src/holder.ts
+++ b/packages/duties/src/holder.ts
@@ -67,6 +67,10 @@
     return this.current === 'held';
   }
 
+  private mayBeHeld(): boolean {
+    return this.current === 'held' || this.current === 'suspended';
+  }
+
   private hasValidLease(): boolean {
     const { membership } = this.deps;
     return this.grant !== null && membership.currentLease() === this.grant.lease && membership.isValid();
@@ -107,22 +111,20 @@
 
   private refused(error: StaleTokenError): void {
     this.counts.refused++;
-    if (error.token !== this.grant?.token) return;
-    if (this.current === 'held' || this.current === 'suspended') this.become('lost', error.message);
+    if (this.mayBeHeld() && error.token === this.grant?.token) this.become('lost', error.message);
   }
 
   /** A write under a permit found that another holder, or none, stands in the record. */
   conflicted(permit: Permit): void {
     this.counts.refused++;
-    const isCurrent = this.grant?.version === permit.guard.version;
-    if (isCurrent && (this.current === 'held' || this.current === 'suspended'))
+    if (this.mayBeHeld() && permit.token === this.grant?.token)
       this.become('lost', 'the record has another holder');
   }
 
   /** Takes in what is known now. */
   refresh(): void {
     if (this.current === 'lost') this.become('vacant', 'lost');
-    if (this.current !== 'held' && this.current !== 'suspended') return;
+    if (!this.mayBeHeld()) return;
     if (this.deps.membership.currentLease() !== this.grant?.lease) this.become('lost', 'the lease has ended');
     else if (!this.isNamed()) this.become('lost', 'the record has another holder, or is gone');
     else if (!this.isHeld() && this.hasValidLease()) this.become('held', 'the lease lives');
@@ -200,7 +202,7 @@
   /** Hands the duty over in order: begins nothing new, lets what is on its way end, then frees the record. */
   async release(why: string): Promise<void> {
     this.refresh();
-    if (this.current !== 'held' && this.current !== 'suspended') return;
+    if (!this.mayBeHeld()) return;
     this.become('releasing', why);
     const { environment } = this.deps;
     const drainUntil = environment.clock.now() + DRAIN_MS;
--- a/packages/duties/src/index.ts
+++ b/packages/duties/src/index.ts
@@ -1,6 +1,5 @@
 /** Duties that exactly one controller performs at a time, under leases and fencing tokens. See docs/duties.md. */
 export { DUTIES, type Duty, isDuty } from './duty.js';
-export { type HolderState } from './holder-state.js';
 export { type DutyHolder, type Performed } from './holder.js';
 export { IntentLog, type IntentLogDependencies, type Opened } from './intent-log.js';
 export { type DutyCounters, DutyMember, type DutyMemberDependencies } from './member.js';
@@ -14,16 +13,12 @@
 export { type Permit, StaleTokenError } from './permit.js';
 export type { DeleteResult, MachineProvider, RentResult } from './provider.js';
 export {
-  type DeleteAction,
-  HOLDERS,
-  type HolderRecord,
   INTENTS,
   type Intent,
   type IntentAction,
   intentKey,
   type Outcome,
   type RentAction,
-  readIntent,
 } from './records.js';
 export { type DutySettings } from './settings.js';
-export { DutiesView } from './view.js';
+export { type Versioned } from './view.js';
--- a/packages/duties/src/member.ts
+++ b/packages/duties/src/member.ts
@@ -62,14 +62,15 @@
   /** When this process was last seen to hold the duty. */
   private readonly heldAt = new Map<Duty, number>();
   private readonly openSince = new Map<string, number>();
+  private readonly settleMs: number;
   private movedAt: number;
   private reportedAt: number;
   private follows = false;
-  private stopped = false;
 
   constructor(private readonly deps: DutyMemberDependencies) {
     const { environment, store, self, process, settings, provider, txnOps } = deps;
     this.movedAt = this.reportedAt = environment.clock.now();
+    this.settleMs = settings.settle_s * 1000;
     this.view = new DutiesView(environment.log);
     this.membership = new Membership({
       environment,
@@ -103,12 +104,6 @@
     this.tick();
   }
 
-  /** Hands everything over in order, and takes no part any more. */
-  async stop(): Promise<void> {
-    this.stopped = true;
-    await this.leave('stopped');
-  }
-
   counters(): DutyCounters {
     const now = this.deps.environment.clock.now();
     const holders = [...this.holders.values()];
@@ -124,9 +119,8 @@
   }
 
   private tick(): void {
-    if (this.stopped) return;
     if (this.deps.mayHold()) this.takePart();
-    else if (this.membership.isIn()) void this.leave('duties are off');
+    else if (this.membership.isIn()) void this.leave();
     this.deps.environment.clock.after(TICK_MS, () => {
       this.tick();
     });
@@ -145,8 +139,9 @@
     this.report();
   }
 
-  private async leave(why: string): Promise<void> {
-    await Promise.all([...this.holders.values()].map((holder) => holder.release(why)));
+  /** Hands everything over in order. */
+  private async leave(): Promise<void> {
+    await Promise.all([...this.holders.values()].map((holder) => holder.release('duties are off')));
     await this.membership.leave();
     for (const holder of this.holders.values()) holder.refresh();
   }
@@ -155,9 +150,8 @@
   private async follow(): Promise<void> {
     const { environment, store } = this.deps;
     this.follows = true;
-    while (!this.stopped && this.deps.mayHold()) {
-      const read = this.view.knownRevision() < 0 ? await store.scan(PREFIX) : null;
-      if (read) this.view.load(read.pairs, read.revision);
+    while (this.deps.mayHold()) {
+      if (this.view.knownRevision() < 0) await this.reload();
       if (this.view.knownRevision() < 0) {
         await sleep(environment, RETRY_MS * (1 + environment.random()));
         continue;
@@ -173,7 +167,7 @@
   /** What is new is acted on at once. */
   private apply(answer: Extract<WatchResult, { kind: 'news' }>): void {
     this.view.apply(answer.news, answer.revision);
-    if (!this.stopped && this.deps.mayHold()) this.takePart();
+    if (this.deps.mayHold()) this.takePart();
   }
 
   private async reload(): Promise<void> {
@@ -196,10 +190,7 @@
     const now = this.deps.environment.clock.now();
     for (const [id, { value }] of this.view.intents())
       if (value.outcome === null && !this.openSince.has(id)) this.openSince.set(id, now);
-    for (const id of this.openSince.keys()) {
-      const entry = this.view.intent(id);
-      if (entry.kind !== 'present' || entry.value.outcome !== null) this.openSince.delete(id);
-    }
+    for (const id of this.openSince.keys()) if (!this.view.isOpen(id)) this.openSince.delete(id);
   }
 
   private memberViews(): MemberView[] {
@@ -208,7 +199,7 @@
     return [...this.membersSeen].map(([name, { since, duties }]) => ({
       name,
       duties,
-      settled: now - since >= this.deps.settings.settle_s * 1000,
+      settled: now - since >= this.settleMs,
       isLeader: name === leader,
       holds: this.countHeldBy(name),
     }));
@@ -254,7 +245,7 @@
   /** Whoever just had the duty goes last: it was taken away for a reason. */
   private acquisitionDelayMs(duty: Duty, now: number): number {
     const members = this.memberViews();
-    const settleMs = this.deps.settings.settle_s * 1000;
+    const { settleMs } = this;
     const delayMs = acquisitionDelayMs(duty, this.deps.self, members, settleMs);
     const hadItLately = now - (this.heldAt.get(duty) ?? -Infinity) < settleMs;
     return hadItLately && members.length > 1 ? delayMs + settleMs : delayMs;
--- a/packages/duties/src/view.ts
+++ b/packages/duties/src/view.ts
@@ -114,6 +114,12 @@
     return this.intentSection.get(id);
   }
 
+  /** It is stored, and nothing has come of it yet. */
+  isOpen(id: string): boolean {
+    const entry = this.intent(id);
+    return entry.kind === 'present' && entry.value.outcome === null;
+  }
+
   /** In the order in which they came to be known. */
   intents(): Iterable<[string, Versioned<Intent>]> {
     return this.intentSection.present();
--- a/src/command-outcome.ts
+++ b/src/command-outcome.ts
@@ -1,4 +1,10 @@
-/** How an operators' command ends. */
+/** What operators' commands have in common: who is named in records, and how a command ends. */
+import type { World } from './runtime.js';
+
+/** Differs from run to run. */
+export function operatorName(world: World, wallMs: () => number): string {
+  return `operator-${wallMs()}-${Math.floor(world.random() * 1e9)}`;
+}
 
 /** Exit codes; 2 is for bad input. */
 const EXIT_DONE = 0;
--- a/src/duties/command-line.ts
+++ b/src/duties/command-line.ts
@@ -6,7 +6,7 @@
   type DutyStatus,
   type DutyStatusResult,
 } from '@millring/duties';
-import { type CommandOutcome, UNREACHABLE_TEXT, exitCodeOf } from '../command-outcome.js';
+import { type CommandOutcome, UNREACHABLE_TEXT, exitCodeOf, operatorName } from '../command-outcome.js';
 import type { World } from '../runtime.js';
 import type { PlatformSettings } from '../settings/platform.js';
 import { stateStoreOf } from '../state-store/client.js';
@@ -22,7 +22,7 @@
 ): Promise<CommandOutcome> {
   const operator = new DutyOperator({
     store: stateStoreOf(world, settings),
-    by: `operator-${wallMs()}-${Math.floor(world.random() * 1e9)}`,
+    by: operatorName(world, wallMs),
     wallMs,
   });
   const result =
--- a/src/duties/controller-duties.ts
+++ b/src/duties/controller-duties.ts
@@ -3,7 +3,7 @@
 import { FENCED_DUTIES } from '../build.js';
 import { Cloud } from '../fleet/cloud.js';
 import type { ControllerRollout } from '../rollout/controller-rollout.js';
-import type { World } from '../runtime.js';
+import { type World, environmentOf } from '../runtime.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { PlatformSettings } from '../settings/platform.js';
 import type { StateStore } from '../state-store/client.js';
@@ -41,7 +41,7 @@
     const { world, settings, operator, store, rollout, process } = deps;
     const callsPerS = (settings.cloudRps * HOLDERS_SHARE) / settings.nodes;
     this.member = new DutyMember({
-      environment: this.environment(),
+      environment: environmentOf(deps),
       store,
       self: settings.node,
       process,
@@ -53,18 +53,9 @@
     });
   }
 
-  private environment(): ConstructorParameters<typeof IntentLog>[0]['environment'] {
-    const { world } = this.deps;
-    return {
-      clock: world.clock,
-      log: world.log,
-      wallMs: () => this.deps.wallMs(),
-      random: () => world.random(),
-    };
-  }
-
+  /** Once it is known whether the level may ever change for this process. */
   run(): void {
-    this.member.run();
+    if (this.deps.rollout.takesPart()) this.member.run();
   }
 
   /** Intents may stand in the records: whoever leads must read them before it decides anything. */
@@ -79,7 +70,7 @@
 
   intentLog(term: DecidingTerm): IntentLog {
     return new IntentLog({
-      environment: this.environment(),
+      environment: environmentOf(this.deps),
       store: this.deps.store,
       view: this.member.view,
       active: () => term.active(),
--- a/src/leadership/adopted-intents.ts
+++ b/src/leadership/adopted-intents.ts
@@ -1,14 +1,11 @@
 /** What a new leader makes of the intents that former leaders have stored. */
-import type { Intent, IntentLog } from '@millring/duties';
+import type { Intent, IntentLog, Versioned } from '@millring/duties';
 import type { Conversion } from '@millring/rollout';
 import { rentResult } from '../duties/intent-actions.js';
 import type { Fleet } from '../fleet/fleet.js';
 
 /** An intent as it was read. */
-export interface StoredIntent {
-  value: Intent;
-  version: number;
-}
+export type StoredIntent = Versioned<Intent>;
 
 /** While any is open, a leader that can't follow intents must not lead. */
 export function openIntents(log: IntentLog): Conversion {
--- a/src/rollout/command-line.ts
+++ b/src/rollout/command-line.ts
@@ -1,7 +1,7 @@
 /** `millring rollout ...`: what operators see of the cluster level and do about it. */
 import { type OperatorResult, RolloutOperator, type StatusResult } from '@millring/rollout';
 import { FEATURES } from '../build.js';
-import { type CommandOutcome, UNREACHABLE_TEXT, exitCodeOf } from '../command-outcome.js';
+import { type CommandOutcome, UNREACHABLE_TEXT, exitCodeOf, operatorName } from '../command-outcome.js';
 import type { World } from '../runtime.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { PlatformSettings } from '../settings/platform.js';
@@ -27,7 +27,7 @@
     controllers: [settings.node, ...settings.peers.map((peer) => peer.name)],
     registry: FEATURES,
     settings: operator.rollout,
-    by: `operator-${wallMs()}-${Math.floor(world.random() * 1e9)}`,
+    by: operatorName(world, wallMs),
     wallMs,
   });
   const result = command.action === 'status' ? await rollout.status() : await rollout[command.action]();
--- a/src/rollout/controller-rollout.ts
+++ b/src/rollout/controller-rollout.ts
@@ -8,7 +8,7 @@
 } from '@millring/rollout';
 import { FEATURES } from '../build.js';
 import type { PeerMessage } from '../peers/peers.js';
-import type { World } from '../runtime.js';
+import { type World, environmentOf } from '../runtime.js';
 import type { OperatorSettings } from '../settings/operator.js';
 import type { PlatformSettings } from '../settings/platform.js';
 import type { StateStore } from '../state-store/client.js';
@@ -48,7 +48,7 @@
   constructor(private readonly deps: ControllerRolloutDependencies) {
     const { store, settings, build, process, operator } = deps;
     this.participant = new RolloutParticipant({
-      environment: this.environment(),
+      environment: environmentOf(deps),
       store,
       self: settings.node,
       process,
@@ -61,21 +61,16 @@
     });
   }
 
-  private environment(): ConstructorParameters<typeof RolloutParticipant>[0]['environment'] {
-    const { world } = this.deps;
-    return {
-      clock: world.clock,
-      log: world.log,
-      wallMs: () => this.deps.wallMs(),
-      random: () => world.random(),
-    };
-  }
-
   async join(): Promise<void> {
     await this.participant.join();
     if (this.deps.operator.rollout.mode !== 'off') this.tellBuild();
   }
 
+  /** Whether the level may ever change for this process. */
+  takesPart(): boolean {
+    return !this.participant.isOutside();
+  }
+
   mayServe(): boolean {
     return this.participant.mayServe();
   }
@@ -96,10 +91,10 @@
 
   /** For the time of one claim. */
   coordinate(term: CoordinatedTerm): void {
-    if (this.participant.isOutside()) return;
+    if (!this.takesPart()) return;
     const { settings, store, operator } = this.deps;
     const coordinator = new RolloutCoordinator({
-      environment: this.environment(),
+      environment: environmentOf(this.deps),
       store,
       self: settings.node,
       controllers: [settings.node, ...settings.peers.map((peer) => peer.name)],
--- a/src/runtime.ts
+++ b/src/runtime.ts
@@ -1,4 +1,5 @@
 /** What the outside world is to decision code: injected, so that tests can simulate whole clusters. */
+import type { Environment } from '@millring/state-access';
 import type { Body } from './wire/cbor.js';
 
 export interface Clock {
@@ -43,3 +44,9 @@
 export function sleep(clock: Clock, ms: number): Promise<void> {
   return new Promise((done) => clock.after(ms, done));
 }
+
+/** The world as the packages see it. */
+export function environmentOf(source: { world: World; wallMs(): number }): Environment {
+  const { world } = source;
+  return { clock: world.clock, log: world.log, wallMs: () => source.wallMs(), random: () => world.random() };
+}
--- a/test/rollout-processes.test.ts
+++ b/test/rollout-processes.test.ts
@@ -2,18 +2,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { ControllerProcesses } from './sim/controller-processes.js';
+import { segmentsIn } from './sim/rollout-rules.js';
 
 const NAMES = ['n0', 'n1', 'n2'];
 // Long enough that a machine without a free moment gives nothing up.
 const AUTOMATIC = { mode: 'automatic', soak_s: 0.5, stall_s: 600, announcement_lease_s: 60 } as const;
 const EVERY_MS = 200;
-const FIRST_SEGMENT = 1000;
-
-function segments(deployment: ControllerProcesses): string[] {
-  return [...deployment.standIns.state.items.keys()].filter(
-    (key) => key.startsWith('d/') && Number(key.slice(key.lastIndexOf('/') + 1)) >= FIRST_SEGMENT,
-  );
-}
 
 async function withDeployment(
   start: Parameters<ControllerProcesses['start']>,
@@ -58,7 +52,7 @@
     );
 
     const large = deployment.user(deployment.body({ sacks: 2100, vcpus: 0.25, ram_gb: 0.1, grind_s: 8 }));
-    await deployment.until('segments are stored', () => segments(deployment).length > 0);
+    await deployment.until('segments are stored', () => segmentsIn(deployment.standIns.state).length > 0);
     await deployment.replace('n1', 'old');
     // A process that hasn't read the level yet refuses for that reason first; it is never healthy in between.
     await deployment.until('n1 is excluded by the level', async () => {
@@ -69,7 +63,7 @@
     const text = await deployment.rollout('n0', 'downgrade');
     assert.deepEqual([text.code, text.stdout], [0, 'level 2, lowering -> 1: the leader goes on with it\n']);
     await deployment.until('the level is lowered', () => deployment.level.active === 1);
-    assert.deepEqual(segments(deployment), []);
+    assert.deepEqual(segmentsIn(deployment.standIns.state), []);
     await deployment.untilHealthy('n1');
     await large;
     await deployment.endStream();
--- a/test/sim/rollout-rules.ts
+++ b/test/sim/rollout-rules.ts
@@ -2,6 +2,7 @@
 import type { ClusterLevel } from '@millring/rollout';
 import { BUILD, COMPACT_FINISHED_TASKS } from '../../src/build.js';
 import type { Cluster } from './cluster.js';
+import type { StateService } from './state-service.js';
 
 const LEVEL_KEY = 'rollout/level';
 const FIRST_SEGMENT = 1000;
@@ -14,6 +15,13 @@
   lowering: ['stable'],
 };
 
+/** Keys of the segments of finished tasks that are stored. */
+export function segmentsIn(state: StateService): string[] {
+  return [...state.items.keys()].filter(
+    (key) => key.startsWith('d/') && Number(key.slice(key.lastIndexOf('/') + 1)) >= FIRST_SEGMENT,
+  );
+}
+
 export class RolloutRules {
   /** All levels that were ever stored, in order. */
   readonly history: ClusterLevel[] = [];
@@ -30,9 +38,7 @@
   }
 
   segments(): string[] {
-    return [...this.cluster.state.items.keys()].filter(
-      (key) => key.startsWith('d/') && Number(key.slice(key.lastIndexOf('/') + 1)) >= FIRST_SEGMENT,
-    );
+    return segmentsIn(this.cluster.state);
   }
 
   private check(): void {
