An attempt is released once: vanished is a state, entered through the one function for changes

Cause: `MachineTable.drop` took an attempt out of the table without changing its state. A start that was in flight while its worker began a new session was dropped when the report of that session came, and dropped again when the worker refused it with 409: the team's use, the machine's room and the job's count went down twice for one attempt. The leader then started more than the team's limit, for the rest of its term. The class: an answer acts on knowledge that has been given up meanwhile, on a path that did not pass the state machine.

Change: `vanished` is a final state; `drop` goes through `become`, which releases once. A late word of an attempt no longer removes a gang's replacement that has the same number.

--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -15,7 +15,7 @@
 export interface TableEvents {
   /** The task may now be on the machine. */
   attemptAdded(e: TaskAttempt): void;
-  /** The task is surely not on the machine any more; `e.state` tells whether it exited or vanished. */
+  /** The task is surely not on the machine any more; `e.state` tells whether it exited or vanished. Told once. */
   attemptGone(e: TaskAttempt): void;
 }
 
@@ -133,21 +133,24 @@
     if (isFetching(e)) countFetch(e, sign);
   }
 
-  /** The one place where an entry changes its state. */
+  /**
+   * The one place where an attempt changes its state. What it occupies is released here alone, and the two final
+   * states have no successor: whatever else tells later that the attempt is gone, such as the refusal of a start whose
+   * machine has begun a new session meanwhile, releases nothing again.
+   */
   private become(e: TaskAttempt, next: AttemptState, now: number): void {
     if (next === e.state || !ATTEMPT_TRANSITIONS[e.state].includes(next)) return;
-    const fetched = isFetching(e);
-    if (next === 'exited') this.occupy(e, -1);
-    else if (fetched && next !== 'fetching') countFetch(e, -1);
+    const isFinal = next === 'exited' || next === 'vanished';
+    if (isFinal) this.occupy(e, -1);
+    else if (isFetching(e) && next !== 'fetching') countFetch(e, -1);
     if (e.state === 'running' && e.job) e.job.running--;
     e.state = next;
     e.open = false;
     if (next === 'waiting' || next === 'running') this.hasImage(e, next, now);
-    if (next === 'exited') {
-      this.noteEmpty(e.machine, now);
-      this.due.add(e.machine);
-      this.events.attemptGone(e);
-    }
+    if (!isFinal) return;
+    this.noteEmpty(e.machine, now);
+    if (next === 'exited') this.due.add(e.machine);
+    this.events.attemptGone(e);
   }
 
   /** The attempt has its image: it waits for its gang, or runs. */
@@ -169,13 +172,10 @@
 
   /** Surely not on the machine: never executed, killed with its session, or the machine is gone. */
   drop(e: TaskAttempt, now: number): void {
-    e.machine.attempts.delete(attemptKey(e.jobId, e.taskNumber, e.attempt));
-    if (e.onMachine()) {
-      if (e.state === 'running' && e.job) e.job.running--;
-      this.occupy(e, -1);
-      this.noteEmpty(e.machine, now);
-      this.events.attemptGone(e);
-    }
+    const key = attemptKey(e.jobId, e.taskNumber, e.attempt);
+    // A gang's replacement has the same number: a late word of the task that it replaces must not remove it.
+    if (e.machine.attempts.get(key) === e) e.machine.attempts.delete(key);
+    this.become(e, 'vanished', now);
   }
 
   private dropAll(m: Machine, now: number): void {
--- a/src/workers/task-attempt.ts
+++ b/src/workers/task-attempt.ts
@@ -6,16 +6,19 @@
 /**
  * ordered: a start was decided; it may be in flight. fetching, waiting, running, saving: as reported.
  * waiting: of a gang only; it has its image and waits for the other tasks. exited: not on the machine any more, but the machine still reports it until it is told to forget.
+ * vanished: surely not on the machine, which does not report it either: never executed, killed with its session, or
+ * the machine is gone.
  */
-export type AttemptState = 'ordered' | 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
+export type AttemptState = 'ordered' | 'fetching' | 'waiting' | 'running' | 'saving' | 'exited' | 'vanished';
 
 export const ATTEMPT_TRANSITIONS: Record<AttemptState, AttemptState[]> = {
-  ordered: ['fetching', 'waiting', 'running', 'saving', 'exited'],
-  fetching: ['waiting', 'running', 'saving', 'exited'],
-  waiting: ['running', 'saving', 'exited'],
-  running: ['saving', 'exited'],
-  saving: ['exited'],
+  ordered: ['fetching', 'waiting', 'running', 'saving', 'exited', 'vanished'],
+  fetching: ['waiting', 'running', 'saving', 'exited', 'vanished'],
+  waiting: ['running', 'saving', 'exited', 'vanished'],
+  running: ['saving', 'exited', 'vanished'],
+  saving: ['exited', 'vanished'],
   exited: [],
+  vanished: [],
 };
 
 export interface StopRequest {
@@ -58,6 +61,6 @@
   ) {}
 
   onMachine(): boolean {
-    return this.state !== 'exited';
+    return this.state !== 'exited' && this.state !== 'vanished';
   }
 }
