One place decides what a team may take; an audit recounts it and stops starts where it does not hold

Change: `TeamUsage.mayStart` is the one decision, for arrays, services, gangs and all that starts again; it adds what is unseen itself, so that no caller can leave it out. Every 2 s `UsageAudit` recounts the table of attempts: a sum that differs, or tasks with their image beyond the limit on machines that obey, is logged as an error with the latest decisions on the team's tasks; the sum is corrected and nothing of the team starts until it holds again. In tests it ends the run. Each start is noted with the team's use, what was unseen and the limit, each stop with its reason, each release with its proof, in a bounded list (debug lines, or with an error). At each round a line tells of up to 20 teams used, unseen, limit and highest share; a term logs its claim, token and what it read at which revision.

--- a/src/leadership/leader-term.ts
+++ b/src/leadership/leader-term.ts
@@ -28,7 +28,7 @@
 import { cutZones, keptUntil } from './zone-contact.js';
 import { Lateness } from './lateness.js';
 import { LeaseWatch } from './lease-watch.js';
-import { readStoredState } from './stored-state.js';
+import { type StoredState, readStoredState } from './stored-state.js';
 import { Takeover } from './takeover.js';
 import type { LeaderTermDeps } from './leader-term-dependencies.js';
 import { WorkerContact } from './worker-contact.js';
@@ -250,7 +250,11 @@
   }
 
   private become(next: LeaderTermState): void {
-    this.deps.world.log.info({ from: this.state, to: next }, 'leader term');
+    const token = this.baseToken;
+    this.deps.world.log.info(
+      { from: this.state, to: next, claim: this.claim.revision, token },
+      'leader term',
+    );
     this.state = next;
   }
 
@@ -289,9 +293,11 @@
 
   /** Reads all records; the revision to follow changes from, or null if the state service could not be read. */
   private async rebuild(): Promise<number | null> {
-    const { store, duties } = this.deps;
+    const { store, duties, world } = this.deps;
+    const began = world.clock.now();
     const stored = await readStoredState(store, duties.areKnown() ? this.intents : null);
     if (!stored || !this.isRebuilding()) return null;
+    this.logStoredState(stored, began);
     for (const pair of stored.machines) this.loadMachines(pair);
     adoptIntents(stored.intents, this.intents, this.fleet);
     this.feed.load(
@@ -307,6 +313,16 @@
     return stored.revision;
   }
 
+  private logStoredState({ machines, jobs, finished, revision }: StoredState, began: number): void {
+    const { clock, log } = this.deps.world;
+    const read = { machinePages: machines.length, jobs: jobs.length, finished: finished.length };
+    const tookMs = Math.round(clock.now() - began);
+    log.info(
+      { claim: this.claim.revision, token: this.baseToken, revision, ...read, tookMs },
+      'stored state read',
+    );
+  }
+
   private loadMachines(pair: Pair): void {
     const records = readMachinePage(pair);
     this.registry.load(pair, records);
@@ -385,6 +401,7 @@
       this.registry.tick();
       this.completionWriter.tick();
       this.fleet.tick();
+      this.placement.tick(now);
       this.placement.round();
       this.wake();
       this.sender.flushDue(true);
--- a/src/placement/gang-scheduler.ts
+++ b/src/placement/gang-scheduler.ts
@@ -17,7 +17,6 @@
 } from './gangs.js';
 import type { TeamUsage } from './quota.js';
 import type { Reservations } from './reservations.js';
-import type { Resources } from './resources.js';
 
 /** A gang that has found no room for so long goes first among its likes and reserves capacity. */
 const RESERVE_AFTER_MS = 10_000;
@@ -48,8 +47,6 @@
   context: ChoiceContext;
   /** Machines that the gang may be placed on, without those reserved for others. */
   machines: Machine[];
-  /** What tasks of the team that are not known yet may use. */
-  unseen: Resources;
   mayPreempt: boolean;
 }
 
@@ -83,7 +80,7 @@
 
   private placeMissing(job: Job, options: GangOptions): GangPlacement {
     const tasks = missingTasks(job);
-    if (!this.fitsTeamLimit(job, tasks.length, options.unseen)) return 'not-now';
+    if (!this.fitsTeamLimit(job, tasks.length)) return 'not-now';
     const attempt = gangAttempt(job) ?? this.deps.nextAttempt();
     const allowed = allowedMachines(job, options.machines);
     for (const group of job.spec.oneZone ? zonesInTurn(job, allowed) : [allowed]) {
@@ -103,17 +100,13 @@
     this.deps.reservations.reserveMachines(job, allowedMachines(job, machines), this.deps.now());
   }
 
-  private fitsTeamLimit(job: Job, tasks: number, unseen: Resources): boolean {
+  private fitsTeamLimit(job: Job, tasks: number): boolean {
     const { usage, reservations } = this.deps;
-    const { cpus, gpus, team } = job.spec;
-    const others = tasks - 1;
-    const keepCpus = others * cpus + unseen.cpus;
-    const keepGpus = others * gpus + unseen.gpus;
-    if (usage.allows(job.spec, keepCpus, keepGpus)) return true;
+    const request = { spec: job.spec, tasks, headroomCpus: 0 };
+    if (usage.mayStart(request)) return true;
     if (!this.isOverdue(job)) return false;
-    const arrays = reservations.usedByArrays(team);
-    const fitsInTime = usage.allows(job.spec, keepCpus - arrays.cpus, keepGpus - arrays.gpus);
-    if (fitsInTime) reservations.reserveTeamLimit(job, this.deps.now());
+    const arrays = reservations.usedByArrays(job.spec.team);
+    if (usage.fitsWithout(request, arrays)) reservations.reserveTeamLimit(job, this.deps.now());
     return false;
   }
 
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -8,6 +8,7 @@
 import type { MachineTable } from '../workers/machine-table.js';
 import type { TaskAttempt } from '../workers/task-attempt.js';
 import { Candidates, type ChoiceContext, closedZones } from './choose.js';
+import { DecisionLog } from './decision-log.js';
 import { DemandHistory } from './demand-history.js';
 import { forgetFailedMachines, noteFailure, noteSuccess } from './failures.js';
 import { GangScheduler } from './gang-scheduler.js';
@@ -21,12 +22,13 @@
 } from './order.js';
 import { TeamUsage } from './quota.js';
 import { Rebalancer } from './rebalancer.js';
-import { NO_RESOURCES, type Resources } from './resources.js';
+import type { Resources } from './resources.js';
 import { Reservations } from './reservations.js';
 import { RunTimes } from './run-times.js';
 import { Timings, trimTimings } from './stragglers.js';
 import { unseenResources, victimsForTeamRoom } from './team-room.js';
 import { UsableMachines } from './usable-machines.js';
+import { UsageAudit } from './usage-audit.js';
 
 export interface PlacementDeps {
   world: World;
@@ -47,6 +49,8 @@
 const LOOKS_PER_PASS = 30_000;
 /** Who is within a guarantee changes slowly. */
 const GUARANTEE_MS = 300;
+/** A log line of team usage names at most so many teams. */
+const TEAMS_IN_LOG = 20;
 /** A job of which nothing has begun after so long gets a first share of its tasks before all others. */
 const STARVED_MS = 60_000;
 const STARVED_JOB_SHARE = 0.25;
@@ -56,6 +60,8 @@
 const GANGS_TO_EXPECT = 2;
 /** A task that was refused for lack of room, or since an old attempt is still there, waits for a newer report. */
 const REFUSED_MS = 300;
+/** Once every machine is known, nothing can be where no report has shown it. */
+const NONE_UNSEEN: ReadonlyMap<string, Resources> = new Map();
 
 /** What one pass shares among the jobs it looks at. */
 interface Pass {
@@ -69,7 +75,6 @@
   zones: Set<string>;
   /** The lowest priority that is on any machine, as a number. */
   leastUrgent: number;
-  unseen: Map<string, Resources>;
   /** CPUs free on ordinary machines beyond what arrays leave to gangs. */
   ordinarySpare: number;
   /** Shapes of jobs that found no room, in this pass or in those before it that ran out of looks. */
@@ -93,6 +98,8 @@
 
 export class Placement {
   private readonly usage: TeamUsage;
+  private readonly decisions: DecisionLog;
+  private readonly usageAudit: UsageAudit;
   private readonly machines: UsableMachines;
   private readonly runTimes = new RunTimes();
   private readonly timings = new Timings();
@@ -118,6 +125,8 @@
     this.machines = new UsableMachines(table, (machine) => deps.isSilent(machine));
     const usable = (machine: Machine): boolean => this.machines.isUsable(machine);
     this.usage = new TeamUsage(settings.teams);
+    this.decisions = new DecisionLog(world.log);
+    this.usageAudit = new UsageAudit({ table, usage: this.usage, decisions: this.decisions, log: world.log });
     this.saveMoney = moneyCounts(settings, operator);
     this.goals = finishGoals(settings.objectives);
     this.lastRound = now();
@@ -152,15 +161,21 @@
   // Changes of the machine table.
 
   attemptAdded(attempt: TaskAttempt): void {
-    if (!attempt.job) return;
-    attempt.job.addAttempt(attempt);
-    this.usage.hold(attempt.job.spec);
+    const { job } = attempt;
+    const now = this.deps.world.clock.now();
+    // One that is added as sent was shown by a report.
+    if (attempt.sent) this.decisions.found(attempt, now);
+    else this.decisions.started(attempt, job ? this.usage.standing(job.spec.team) : undefined, now);
+    if (!job) return;
+    job.addAttempt(attempt);
+    this.usage.hold(job.spec);
   }
 
   attemptGone(attempt: TaskAttempt): void {
     const { job, machine, cause } = attempt;
-    if (!job) return;
     const now = this.deps.world.clock.now();
+    this.decisions.gone(attempt, now);
+    if (!job) return;
     if (cause === 'done') this.taskDone(job, attempt, now);
     job.removeAttempt(attempt);
     this.usage.release(job.spec);
@@ -223,8 +238,10 @@
   }
 
   private stop(attempt: TaskAttempt, graceS: number, reason: string): void {
+    const now = this.deps.world.clock.now();
     this.work.stops[reason] = (this.work.stops[reason] ?? 0) + 1;
-    this.deps.table.stop(attempt, { graceS, reason, replaced: false }, this.deps.world.clock.now());
+    this.decisions.stopped(attempt, reason, now);
+    this.deps.table.stop(attempt, { graceS, reason, replaced: false }, now);
   }
 
   // Starts.
@@ -282,6 +299,7 @@
     if (waiting.length === 0) return false;
     this.work.passes++;
     this.updateGuaranteed(now);
+    this.usage.setUnseen(oldJobsOpen ? NONE_UNSEEN : unseenResources(this.deps.jobs.all()));
     const pass = this.beginPass(waiting, now, oldJobsOpen);
     for (const job of servingOrder(waiting, this.guaranteed, (j) => this.urgencyOf(j, pass))) {
       // In a large fleet a few shapes without room use up all looks: those behind them must come to their turn.
@@ -313,7 +331,6 @@
       full,
       zones: new Set([...roomy, ...full].map((m) => m.zone)),
       leastUrgent: this.leastUrgent(),
-      unseen: oldJobsOpen ? new Map<string, Resources>() : unseenResources(this.deps.jobs.all()),
       ordinarySpare: this.ordinarySpare(roomy),
       noRoom,
       askedTeams: new Set(),
@@ -353,7 +370,6 @@
     const placement = this.gangs.place(job, {
       context: pass.context,
       machines,
-      unseen: pass.unseen.get(job.spec.team) ?? NO_RESOURCES,
       mayPreempt: this.mayStopOthers(job, pass),
     });
     if (placement === 'placed') {
@@ -373,13 +389,12 @@
     const choosy = this.isChoosy(job, pass.now);
     const likes = this.likesOf(job, pass, choosy);
     if (pass.noRoom.has(likes) || this.reservations.yieldsTeamLimit(job, pass.now)) return;
-    const unseen = pass.unseen.get(job.spec.team) ?? NO_RESOURCES;
-    const keepCpus = this.reservations.serviceHeadroom(job, pass.now) + unseen.cpus;
+    const headroomCpus = this.reservations.serviceHeadroom(job, pass.now);
     const starved = this.starved(job, pass.wallMs);
     let most = starved ? Math.ceil(job.spec.tasks * STARVED_JOB_SHARE) : Infinity;
     let candidates: Candidates | null = null;
     while (pass.starts > 0 && most-- > 0 && job.pending() > 0) {
-      if (!this.usage.allows(job.spec, keepCpus, unseen.gpus)) {
+      if (!this.usage.mayStart({ spec: job.spec, tasks: 1, headroomCpus })) {
         this.askTeam(job, pass);
         return;
       }
@@ -444,6 +459,11 @@
       this.stop(victim, 0, 'quota for a more urgent job');
   }
 
+  /** Called at each tick of the leader. */
+  tick(now: number): void {
+    this.usageAudit.tick(now);
+  }
+
   // Rounds.
 
   /** DESIGN's placement round. */
@@ -454,6 +474,17 @@
     this.lastRound = now;
     world.log.info({ ...this.work, unusable: this.machines.countUnusable() }, 'round');
     this.work = newWork();
+    this.logTeams();
     this.rebalancer.round(now);
   }
+
+  /** The teams that use or may use anything, those nearest to their limits first. */
+  private logTeams(): void {
+    const active = this.usage
+      .standings()
+      .filter(({ used, unseen, peakShare }) => used.cpus + unseen.cpus + peakShare > 0)
+      .sort((a, b) => b.peakShare - a.peakShare);
+    this.usage.resetPeaks();
+    if (active.length > 0) this.deps.world.log.info({ teams: active.slice(0, TEAMS_IN_LOG) }, 'team usage');
+  }
 }
--- a/src/placement/reservations.ts
+++ b/src/placement/reservations.ts
@@ -5,7 +5,7 @@
 import type { Job, JobTable } from '../jobs/job-table.js';
 import type { Machine } from '../workers/machine.js';
 import { zonesInTurn } from './gangs.js';
-import type { Resources } from './resources.js';
+import { NO_RESOURCES, type Resources, plus, times } from './resources.js';
 
 /** The longest time that a job yields to any reservation. */
 export const MAX_YIELD_MS = 60_000;
@@ -76,12 +76,9 @@
 
   /** What the team's arrays use: a gang that fits without them will fit once they have ended. */
   usedByArrays(team: string): Resources {
-    const used: Resources = { cpus: 0, gpus: 0 };
-    for (const { spec, attempts } of this.jobs.all()) {
-      if (spec.kind !== 'array' || spec.team !== team) continue;
-      used.cpus += attempts.size * spec.cpus;
-      used.gpus += attempts.size * spec.gpus;
-    }
+    let used = NO_RESOURCES;
+    for (const { spec, attempts } of this.jobs.all())
+      if (spec.kind === 'array' && spec.team === team) used = plus(used, times(spec, attempts.size));
     return used;
   }
 
--- a/src/placement/team-room.ts
+++ b/src/placement/team-room.ts
@@ -1,7 +1,7 @@
 /** Room under the limits of teams: pure functions over the live jobs. */
 import type { Job } from '../jobs/job-table.js';
 import type { TaskAttempt } from '../workers/task-attempt.js';
-import { NO_RESOURCES, type Resources } from './resources.js';
+import { NO_RESOURCES, type Resources, plus, times } from './resources.js';
 
 /**
  * Until every machine is known, tasks of old jobs may be where nobody has looked yet. The most that they can be
@@ -11,10 +11,9 @@
   const unseen = new Map<string, Resources>();
   for (const job of jobs) {
     if (job.fresh) continue;
-    const { team, tasks, cpus, gpus } = job.spec;
+    const { team, tasks } = job.spec;
     const hidden = Math.max(0, tasks - job.finishedCount - job.attempts.size);
-    const sum = unseen.get(team) ?? NO_RESOURCES;
-    unseen.set(team, { cpus: sum.cpus + hidden * cpus, gpus: sum.gpus + hidden * gpus });
+    unseen.set(team, plus(unseen.get(team) ?? NO_RESOURCES, times(job.spec, hidden)));
   }
   return unseen;
 }
--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -89,12 +89,16 @@
     attempt: number,
     now: number,
   ): TaskAttempt {
-    const e = new TaskAttempt(m, jobId, job, taskNumber, attempt, now);
-    m.attempts.set(attemptKey(jobId, taskNumber, attempt), e);
-    this.occupy(e, 1);
-    this.events.attemptAdded(e);
-    this.mark(m);
-    return e;
+    return this.admit(new TaskAttempt(m, jobId, job, taskNumber, attempt, now));
+  }
+
+  private admit(attempt: TaskAttempt): TaskAttempt {
+    const { machine } = attempt;
+    machine.attempts.set(attemptKey(attempt.jobId, attempt.taskNumber, attempt.attempt), attempt);
+    this.occupy(attempt, 1);
+    this.events.attemptAdded(attempt);
+    this.mark(machine);
+    return attempt;
   }
 
   /** Orders for the machine may be due. */
@@ -227,9 +231,10 @@
     let attempt = m.attempts.get(key);
     if (!attempt) {
       const job = this.findJob(task.job) ?? null;
-      attempt = this.hold(m, task.job, job, task.taskNumber, task.attempt, now);
+      attempt = new TaskAttempt(m, task.job, job, task.taskNumber, task.attempt, now);
       attempt.sent = true;
       attempt.found = task.state !== 'fetching' && task.state !== 'waiting';
+      this.admit(attempt);
     }
     attempt.open = false;
     if (task.state === 'exited' && attempt.cause === null) attempt.cause = task.cause;
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -3,7 +3,8 @@
 import type { Build, RolloutSettings } from '@millring/rollout';
 import { BUILD } from '../../src/build.js';
 import { ControllerNode } from '../../src/node.js';
-import type { Reply } from '../../src/runtime.js';
+import { USAGE_FAULT } from '../../src/placement/usage-audit.js';
+import type { Log, Reply } from '../../src/runtime.js';
 import { defaultOperatorSettings } from '../../src/settings/operator.js';
 import type { Objective, PlatformSettings } from '../../src/settings/platform.js';
 import type { PeerMessage } from '../../src/peers/peers.js';
@@ -198,6 +199,17 @@
     this.listener = listener;
   }
 
+  /** A broken invariant ends the run: what it logs in service would go unnoticed here. */
+  private logOf(name: string): Log {
+    return {
+      ...quietLog,
+      info: (fields, text) => this.config.log?.(name, text, fields),
+      error: (fields, text) => {
+        if (text === USAGE_FAULT) throw new Error(`${name}: ${text}: ${JSON.stringify(fields)}`);
+      },
+    };
+  }
+
   startNode(name: string): void {
     const life: Partial<Life> & ProcessLife = { alive: true, frozenUntil: 0 };
     const world = processWorld(`${name}:80`, life, {
@@ -205,7 +217,7 @@
       net: this.net,
       random: this.random,
       own: this.clock.host(this.random.between(1, 1.0005), () => life.alive),
-      log: { ...quietLog, info: (fields, text) => this.config.log?.(name, text, fields) },
+      log: this.logOf(name),
       seen: this.ungated.has(name) ? withoutGate : undefined,
     });
     const tell = (m: PeerMessage): void => {
--- /dev/null
+++ b/test/team-usage.test.ts
@@ -0,0 +1,165 @@
+/** The decision whether a team may take more, and the audit that finds sums that do not hold. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Job } from '../src/jobs/job-table.js';
+import { DecisionLog } from '../src/placement/decision-log.js';
+import { TeamUsage } from '../src/placement/quota.js';
+import { USAGE_FAULT, UsageAudit } from '../src/placement/usage-audit.js';
+import type { Log } from '../src/runtime.js';
+import type { Machine } from '../src/workers/machine.js';
+import { MachineTable } from '../src/workers/machine-table.js';
+import { spec } from './sim/job-spec.js';
+import { quietLog } from './sim/quiet-log.js';
+
+const TOKEN = 100;
+const AUDIT_INTERVAL_MS = 2000;
+const TYPE = {
+  name: 'm',
+  cpus: 64,
+  gpus: 8,
+  memoryGb: 256,
+  fetchGbPerS: 1,
+  price: 2,
+  spotPrice: 0.6,
+  bootS: 20,
+  zones: ['a'],
+};
+
+function usageWithLimit(cpusMax: number, gpusMax = Infinity): TeamUsage {
+  return new TeamUsage([{ name: 't', cpus: 0, gpus: 0, cpusMax, gpusMax }]);
+}
+
+const one = (over = {}): Parameters<TeamUsage['mayStart']>[0] => ({
+  spec: spec(over),
+  tasks: 1,
+  headroomCpus: 0,
+});
+
+test('a team may take what is left under its limit, everything counted that may be on machines', () => {
+  const usage = usageWithLimit(10, 1);
+  assert.equal(usage.mayStart({ ...one(), tasks: 5 }), true);
+  assert.equal(usage.mayStart({ ...one(), tasks: 6 }), false, 'a gang counts whole');
+  assert.equal(usage.mayStart({ ...one(), tasks: 5, headroomCpus: 1 }), false, 'headroom is left to others');
+  assert.equal(usage.mayStart(one({ gpus: 2 })), false, 'GPUs count, too');
+  assert.equal(usage.mayStart(one({ team: 'unknown' })), false);
+  for (let i = 0; i < 3; i++) usage.hold(spec());
+  usage.setUnseen(new Map([['t', { cpus: 4, gpus: 0 }]]));
+  assert.equal(usage.mayStart(one()), false, 'unseen tasks count');
+  usage.setUnseen(new Map([['t', { cpus: 2, gpus: 0 }]]));
+  assert.equal(usage.mayStart(one()), true);
+  usage.setUnseen(new Map());
+  assert.equal(usage.mayStart({ ...one(), tasks: 2 }), true);
+  usage.release(spec());
+  assert.equal(usage.mayStart({ ...one(), tasks: 3 }), true);
+});
+
+test('a gang that waits for arrays to end fits without them, and not before', () => {
+  const usage = usageWithLimit(10);
+  for (let i = 0; i < 4; i++) usage.hold(spec());
+  const gang = { ...one(), tasks: 3 };
+  assert.equal(usage.mayStart(gang), false);
+  assert.equal(usage.fitsWithout(gang, { cpus: 4, gpus: 0 }), true);
+  assert.equal(usage.fitsWithout(gang, { cpus: 2, gpus: 0 }), false);
+});
+
+interface Audited {
+  table: MachineTable;
+  machine: Machine;
+  job: Job;
+  usage: TeamUsage;
+  audit: UsageAudit;
+  errors: Record<string, unknown>[];
+}
+
+/** A machine with tasks on it, all of them counted. */
+function audited(cpusMax: number, tasks: number): Audited {
+  const usage = usageWithLimit(cpusMax);
+  const errors: Record<string, unknown>[] = [];
+  const log: Log = {
+    ...quietLog,
+    error: (fields, text) => {
+      assert.equal(text, USAGE_FAULT);
+      errors.push(fields as Record<string, unknown>);
+    },
+  };
+  const decisions = new DecisionLog(log);
+  const table = new MachineTable(TOKEN, 10_000, () => undefined, {
+    attemptAdded: (attempt) => {
+      decisions.started(attempt, usage.standing('t'), 0);
+      usage.hold(attempt.job!.spec);
+    },
+    attemptGone: (attempt) => {
+      usage.release(attempt.job!.spec);
+    },
+  });
+  const machine = table.add('m1', 'm1:1', TYPE, 'a', false, 0);
+  Object.assign(machine, { stored: true, reported: true, token: TOKEN });
+  const job = new Job(0, spec(), 1, 0, true, 0);
+  for (let task = 0; task < tasks; task++) table.hold(machine, 'run-1', job, task, task, 0);
+  return { table, machine, job, usage, errors, audit: new UsageAudit({ table, usage, decisions, log }) };
+}
+
+test('a sum that is too low is found, logged with what led to it, corrected, and starts nothing meanwhile', () => {
+  const { usage, audit, errors } = audited(20, 10);
+  audit.tick(0);
+  assert.equal(errors.length, 0);
+  usage.release(spec());
+  assert.equal(usage.mayStart(one()), true, 'the wrong sum would let it start');
+  audit.tick(AUDIT_INTERVAL_MS);
+  assert.equal(errors.length, 1);
+  assert.equal(errors[0].kind, 'wrong-sum');
+  assert.equal((errors[0].decisions as unknown[]).length, 10);
+  assert.equal(usage.standing('t')!.used.cpus, 20);
+  assert.equal(usage.isSuspended('t'), true);
+  audit.tick(2 * AUDIT_INTERVAL_MS);
+  assert.equal(usage.isSuspended('t'), false, 'it holds again');
+  assert.equal(errors.length, 1);
+});
+
+test('a team over its limit on machines that obey us starts nothing until it is below', () => {
+  const { table, machine, job, usage, audit, errors } = audited(10, 7);
+  audit.tick(0);
+  assert.equal(errors.length, 0, 'starts that no report shows are no breach');
+  for (const attempt of machine.attempts.values()) attempt.state = 'running';
+  audit.tick(AUDIT_INTERVAL_MS);
+  audit.tick(2 * AUDIT_INTERVAL_MS);
+  assert.deepEqual(
+    errors.map((error) => error.kind),
+    ['over-limit'],
+    'logged once',
+  );
+  assert.equal(usage.isSuspended('t'), true);
+  job.running = 7;
+  for (const attempt of [...machine.attempts.values()].slice(0, 3)) table.drop(attempt, 0);
+  audit.tick(3 * AUDIT_INTERVAL_MS);
+  assert.equal(usage.isSuspended('t'), false);
+  assert.equal(usage.mayStart(one()), true);
+});
+
+test('what a machine reports under an older token is no proof of a breach', () => {
+  const { machine, audit, errors } = audited(10, 7);
+  for (const attempt of machine.attempts.values()) attempt.state = 'running';
+  machine.token = TOKEN - 1;
+  audit.tick(0);
+  assert.equal(errors.length, 0);
+});
+
+test('an attempt that is dropped twice is released once', () => {
+  const { table, machine, usage } = audited(20, 2);
+  const [attempt] = machine.attempts.values();
+  table.drop(attempt, 0);
+  table.refused([attempt], 0);
+  table.drop(attempt, 0);
+  table.stop(attempt, { graceS: 0, reason: 'test', replaced: false }, 0);
+  assert.equal(usage.standing('t')!.used.cpus, 2);
+  assert.equal(machine.usedCpus, 2);
+});
+
+test('a late word of a dropped gang task does not remove its replacement of the same number', () => {
+  const { table, machine, job } = audited(20, 1);
+  const [old] = machine.attempts.values();
+  table.drop(old, 0);
+  const replacement = table.hold(machine, 'run-1', job, 0, 0, 0);
+  table.drop(old, 0);
+  assert.deepEqual([...machine.attempts.values()], [replacement]);
+});
