--- /dev/null
+++ b/test/rules.test.ts
@@ -0,0 +1,95 @@
+/** The checker of the quota rule, with planted breaches: what it does not see no run of the cluster can find. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Body } from '../src/wire/cbor.js';
+import { Cluster } from './sim/cluster.js';
+import { BATCH } from './sim/jobs.js';
+import { Rules, jobFacts } from './sim/rules.js';
+
+const LIMIT = 4;
+const CANCEL_MS = 20_000;
+const WAITING_LIMIT_MS = 90_000;
+
+interface Planted {
+  rules: Rules;
+  clock: { now: number };
+}
+
+function withJob(over: Body = {}): Planted {
+  const clock = { now: 0 };
+  const rules = new Rules(() => clock.now, CANCEL_MS, new Map([['t0', LIMIT]]));
+  const spec = { id: 'run-1', miller: 't0', grind: 'array', sacks: 5, vcpus: 2, stone_kinds: null, ...over };
+  rules.jobs.set('run-1', { ...jobFacts({ loaned_stones: true, ...spec }, 0), toldAccepted: true });
+  return { rules, clock };
+}
+
+const place = (machine: string): Parameters<Rules['start']>[1] => ({
+  machine,
+  type: 't',
+  zone: 'a',
+  spot: false,
+});
+
+test('a task beyond the limit is a breach at the moment it has its image', () => {
+  const { rules } = withJob();
+  rules.start('run-1/0', place('m1'));
+  rules.start('run-1/1', place('m1'));
+  assert.deepEqual(rules.broken, []);
+  rules.start('run-1/2', place('m2'));
+  assert.deepEqual(rules.broken, ['0 quota: t0 by run-1/2']);
+});
+
+test('a second copy of a task counts beside the first, and until it has left its own machine', () => {
+  const { rules } = withJob();
+  rules.start('run-1/0', place('m1'));
+  rules.start('run-1/0', place('m2'));
+  assert.equal(rules.usedCpus('t0'), 4);
+  rules.leave('run-1/0', 'm1', false);
+  assert.equal(rules.usedCpus('t0'), 2);
+  rules.start('run-1/1', place('m1'));
+  rules.start('run-1/2', place('m1'));
+  assert.ok(rules.broken.some((broken) => broken.includes('quota')));
+});
+
+test('an end makes room once, however often it is told', () => {
+  const { rules } = withJob();
+  rules.start('run-1/0', place('m1'));
+  rules.start('run-1/1', place('m1'));
+  rules.leave('run-1/0', 'm1', true);
+  rules.leave('run-1/0', 'm1', true);
+  assert.equal(rules.usedCpus('t0'), 2);
+});
+
+test('a task that saves counts until it exits', async () => {
+  const c = new Cluster({ seed: 1, ordinaryUp: 4 });
+  await c.run(4);
+  const saving = { ...BATCH, miller: 't0', sacks: 1, grind_s: 60, bin_every_s: 1, bin_s: 3 };
+  void c.user(c.jobBody(saving), null);
+  await c.run(12);
+  const [[task, [{ machine }]]] = [...c.rules.on];
+  const worker = c.cloud.machines.get(machine)!.worker!;
+  worker.noticeUntil = c.clock.time + 15_000;
+  let saved = 0;
+  for (let i = 0; i < 100; i++) {
+    await c.run(0.1);
+    if (!worker.isSaving(task)) continue;
+    saved++;
+    assert.ok(c.rules.usedCpus('t0') >= 2, 'it counts while it saves');
+  }
+  assert.ok(saved >= 20, `${saved} looks while it saved`);
+  assert.deepEqual(c.rules.broken, []);
+});
+
+test('a gang that does not fit under the limit as a whole does not wait in vain, one that fits does', () => {
+  const rooms = [{ ...place('m1'), freeCpus: 64 }];
+  for (const [sacks, waits] of [
+    [3, false],
+    [2, true],
+  ] as const) {
+    const { rules, clock } = withJob({ grind: 'group', sacks, one_zone: false, scatter: false, yard: null });
+    rules.checkWaiting(rooms, []);
+    clock.now = WAITING_LIMIT_MS + 1;
+    rules.checkWaiting(rooms, []);
+    assert.equal(rules.broken.length > 0, waits, `${sacks} tasks`);
+  }
+});
--- a/test/sim/controller-processes.ts
+++ b/test/sim/controller-processes.ts
@@ -5,10 +5,10 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
-import { build as bundle } from 'esbuild';
 import type { DutySettings } from '@millring/duties';
 import type { RolloutSettings } from '@millring/rollout';
 import { type Body } from '../../src/wire/cbor.js';
+import { bundleController } from './controller-program.js';
 import { LoopbackStandIns, freePort } from './loopback.js';
 import { jobFacts } from './rules.js';
 
@@ -49,26 +49,17 @@
   const source = readFileSync('src/build.ts', 'utf8');
   assert.ok(source.includes(DECLARED));
   const declared = `${DECLARED} ${DECLARATIONS[name]};\nconst _REPLACED: Build =`;
-  await bundle({
-    entryPoints: ['src/main.ts'],
-    bundle: true,
-    platform: 'node',
-    format: 'cjs',
-    conditions: ['source'],
-    logLevel: 'error',
-    outfile,
-    plugins: [
-      {
-        name: 'build',
-        setup: (setup) => {
-          setup.onLoad({ filter: /src[/\\]build\.ts$/ }, () => ({
-            contents: source.replace(DECLARED, declared),
-            loader: 'ts',
-          }));
-        },
+  await bundleController(outfile, [
+    {
+      name: 'build',
+      setup: (setup) => {
+        setup.onLoad({ filter: /src[/\\]build\.ts$/ }, () => ({
+          contents: source.replace(DECLARED, declared),
+          loader: 'ts',
+        }));
       },
-    ],
-  });
+    },
+  ]);
   return outfile;
 }
 
--- a/test/sim/loopback.ts
+++ b/test/sim/loopback.ts
@@ -2,7 +2,8 @@
 import { type Server, createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { outgoing } from '../../src/outgoing.js';
-import { type Body, decodeMap, encode } from '../../src/wire/cbor.js';
+import { TOKEN_SPAN } from '../../src/leadership/leadership.js';
+import { type Body, decodeMap, encode, isMap, narrow } from '../../src/wire/cbor.js';
 import { type CloudMachine, CloudService } from './cloud.js';
 import { VirtualClock } from './clock.js';
 import { GangCoordinator } from './gang-coordinator.js';
@@ -16,6 +17,11 @@
 const STEP_MS = 10;
 const CPUS = 16;
 const TIMEOUT_MS = 5000;
+/** Hosts of the simulated network. */
+const STATE = 'state:1';
+const CLOUD = 'cloud:1';
+/** Longer than any controller waits: watches of the state service last longest. */
+const LONGEST_REQUEST_MS = 30_000;
 
 export interface LoopbackConfig {
   seed: number;
@@ -27,6 +33,8 @@
   cancelMs: number;
   /** By team, the CPUs that its tasks may use. */
   limits: Map<string, number>;
+  /** Requests of controllers pass the simulated network, with its cuts, delays, losses and repeats. */
+  throughNetwork?: boolean;
   /** Port 0: any that is free. */
   statePort?: number;
   cloudPort?: number;
@@ -79,6 +87,11 @@
       const body = decodeMap(Buffer.concat(parts)) ?? {};
       const reply = handler(request.method ?? 'GET', request.url ?? '/', body, 'controller');
       void Promise.resolve(reply).then(({ status, body: answer }) => {
+        // Status 0: the simulated network brought no answer.
+        if (status === 0) {
+          request.destroy();
+          return;
+        }
         response.writeHead(status, { 'content-type': 'application/cbor' }).end(encode(answer));
       });
     });
@@ -111,10 +124,17 @@
   readonly state: StateService;
   stateAddress = '';
   cloudAddress = '';
+  readonly network: Network;
+  readonly cloud: CloudService;
   private readonly random: SeededRandom;
-  private readonly network: Network;
   private readonly gangs: GangCoordinator;
-  private readonly cloud: CloudService;
+  /** Who claimed the leadership at which revision: their commands carry it in the token. */
+  private readonly claims = new Map<number, string>();
+  private readonly stateAddresses = new Map<string, string>();
+  private readonly cloudAddresses = new Map<string, string>();
+  private startedAt = 0;
+  /** Until then, commands with starts reach the machines so much later. */
+  lateStarts: { byMs: number; until: number } | null = null;
   private readonly http: ReturnType<typeof outgoing>;
   private readonly servers: Server[] = [];
   /** Addresses of machines, in the order of their names. */
@@ -166,23 +186,103 @@
     const { statePort = 0, cloudPort = 0 } = this.config;
     this.stateAddress = await this.serve(statePort, (...request) => this.state.handle(...request));
     this.cloudAddress = await this.serve(cloudPort, (_method, path, body) => this.cloud.handle(path, body));
+    if (this.config.throughNetwork) await this.serveEachController();
     for (let i = 0; i < this.machinesAtMost(); i++) {
       const index = i;
       const toMachine: Handler = (...request) => this.toMachine(this.endpoints[index], request);
       this.endpoints.push(await this.serve(0, toMachine));
     }
     const isStopped = (): boolean => this.stopped;
+    this.startedAt = performance.now();
     void followSteadyClock(this.clock, isStopped, () => {
       this.rules.check();
     });
   }
 
+  /** The state service as this controller reaches it. */
+  stateAddressOf(name: string): string {
+    return this.stateAddresses.get(name) ?? this.stateAddress;
+  }
+
+  /** The cloud as this controller reaches it. */
+  cloudAddressOf(name: string): string {
+    return this.cloudAddresses.get(name) ?? this.cloudAddress;
+  }
+
+  private async serveEachController(): Promise<void> {
+    this.network.hosts.set(STATE, {
+      handler: (...request) => this.state.handle(...request),
+      hangsUntil: 0,
+    });
+    this.network.hosts.set(CLOUD, {
+      handler: (_method, path, body) => this.cloud.handle(path, body),
+      hangsUntil: 0,
+    });
+    for (const { name, address } of this.config.controllers) {
+      this.stateAddresses.set(
+        name,
+        await this.serve(
+          0,
+          this.viaNetwork(() => address, STATE),
+        ),
+      );
+      this.cloudAddresses.set(
+        name,
+        await this.serve(
+          0,
+          this.viaNetwork(() => address, CLOUD),
+        ),
+      );
+    }
+  }
+
+  /** A request enters the simulation at the moment it came, after everything that was due before. */
+  private viaNetwork(from: (body: Body) => string, to: string): Handler {
+    return (method, path, body) =>
+      new Promise((done) => {
+        const now = performance.now() - this.startedAt;
+        this.clock.after(now - this.clock.time, () => {
+          this.network.send(from(body), to, method, path, body, LONGEST_REQUEST_MS).then(done, () => {
+            done({ status: 0, body: {} });
+          });
+          this.noteClaim();
+        });
+      });
+  }
+
+  /** The address of the controller that claimed under the token of a command. */
+  private senderOf(body: Body): string {
+    const revision = Math.floor((narrow(body.warrant) ?? 0) / TOKEN_SPAN);
+    const name = this.claims.get(revision);
+    return this.config.controllers.find((controller) => controller.name === name)?.address ?? 'unknown:0';
+  }
+
+  private noteClaim(): void {
+    const claim = this.state.items.get('leader');
+    if (claim && isMap(claim.value)) this.claims.set(claim.version, String(claim.value.node));
+  }
+
+  isMachine(host: string): boolean {
+    return this.endpoints.includes(host);
+  }
+
+  /** The node whose claim stands. */
+  leader(): string | null {
+    const claim = this.state.items.get('leader');
+    return claim && isMap(claim.value) ? String(claim.value.node) : null;
+  }
+
   stop(): void {
     this.stopped = true;
     for (const server of this.servers) end(server);
   }
 
   private toMachine(address: string, request: Parameters<Handler>): ReturnType<Handler> {
+    if (this.config.throughNetwork) {
+      const [method, path, body, from] = request;
+      const sender = (): string => this.senderOf(body);
+      return this.viaNetwork(sender, address)(method, path, body, from);
+    }
     const handler = this.network.hosts.get(address)?.handler;
     return handler ? handler(...request) : { status: 503, body: {} };
   }
@@ -193,7 +293,7 @@
   }
 
   private boot(machine: CloudMachine): Worker {
-    return new Worker(this.network, this.random, this.rules, this.gangs, {
+    const worker = new Worker(this.network, this.random, this.rules, this.gangs, {
       id: machine.id,
       address: this.endpointOf(machine.id),
       type: machine.type,
@@ -207,6 +307,21 @@
       slow: 1,
       faulty: false,
     });
+    this.delayStarts(this.endpointOf(machine.id));
+    return worker;
+  }
+
+  private delayStarts(address: string): void {
+    const host = this.network.hosts.get(address);
+    const handler = host?.handler;
+    if (!host || !handler) return;
+    host.handler = async (method, path, body, from) => {
+      const late = this.lateStarts;
+      const starts = ((body.orders ?? []) as Body[]).some((order) => order.order === 'run');
+      if (late && starts && this.clock.time < late.until)
+        await new Promise<void>((done) => this.clock.after(late.byMs, done));
+      return handler(method, path, body, from);
+    };
   }
 
   private async serve(port: number, handler: Handler): Promise<string> {
--- a/test/sim/rules.ts
+++ b/test/sim/rules.ts
@@ -89,6 +89,11 @@
     return this.jobs.get(task.slice(0, task.lastIndexOf('/')))!.spec.vcpus as number;
   }
 
+  /** What the team's tasks use now. */
+  usedCpus(team: string): number {
+    return this.usedBy.get(team) ?? 0;
+  }
+
   private use(job: JobFacts, sign: number): void {
     const team = job.spec.miller as string;
     this.usedBy.set(team, (this.usedBy.get(team) ?? 0) + sign * (job.spec.vcpus as number));
@@ -224,7 +229,9 @@
     }
     for (const [id, job] of this.jobs) {
       const team = job.spec.miller as string;
-      const cpus = (used.get(team) ?? 0) + (job.spec.vcpus as number);
+      // A gang starts whole or not at all, so that all of it has to fit under the limit.
+      const together = job.spec.grind === 'group' ? (job.spec.sacks as number) : 1;
+      const cpus = (used.get(team) ?? 0) + together * (job.spec.vcpus as number);
       const isUnderLimit = cpus <= (this.limits.get(team) ?? Infinity);
       const waits = this.hasTasksLeft(id, job) && isUnderLimit && this.hasRoom(job, id, rooms);
       this.noteWaiting(id, job, waits);
--- a/test/sim/worker.ts
+++ b/test/sim/worker.ts
@@ -221,6 +221,11 @@
     return { status: 200, body: this.body() };
   }
 
+  /** Is the task saving here, after it was told to stop? */
+  isSaving(sack: string): boolean {
+    return [...this.tasks.values()].some((t) => t.sack === sack && t.condition === 'flushing');
+  }
+
   /** Ordered here, and without their image yet. */
   fetching(): string[] {
     return [...this.tasks.values()].filter((t) => t.condition === 'fetching').map((t) => t.sack);
@@ -259,7 +264,23 @@
     const [job, taskNumber] = this.jobOf(t.sack);
     if (job?.spec.grind === 'group' && t.condition !== 'fetching')
       this.gangs.stop(job, t.try, taskNumber, graceS);
-    else this.end(t, 'stopped');
+    else if (job && this.saves(t, job, graceS)) this.save(t, job.spec.bin_s as number);
+    else if (t.condition !== 'flushing' || graceS === 0) this.end(t, 'stopped');
+  }
+
+  private saves(t: Task, job: JobFacts, graceS: number): boolean {
+    const { bin_every_s: every, bin_s: saveS } = job.spec;
+    return t.condition === 'running' && (every as number) > 0 && graceS > 0 && graceS >= (saveS as number);
+  }
+
+  /** It stays on its machine while it saves. */
+  private save(t: Task, saveS: number): void {
+    t.cancel();
+    t.condition = 'flushing';
+    this.change();
+    t.cancel = this.after(saveS * 1000, () => {
+      this.end(t, 'stopped');
+    });
   }
 
   /** It has its image, and finds the others of its attempt. */
--- /dev/null
+++ b/test/soak/fault-injector.ts
@@ -0,0 +1,135 @@
+/** Brings the faults of a schedule about, in the processes, on the links and in the stand-ins. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { SeededRandom } from '../sim/random.js';
+import type { Fault } from './fault-schedule.js';
+import { NAMES, type SoakDeployment } from './soak-deployment.js';
+
+type FaultOf<Kind extends Fault['kind']> = Extract<Fault, { kind: Kind }>;
+type LinkFault = FaultOf<
+  'cut-reports' | 'cut-commands' | 'cut-machines' | 'mute-machines' | 'deafen-machines' | 'cut-peers'
+>;
+type ProcessFault = FaultOf<'kill' | 'kill-leader' | 'pause'>;
+type MachineFault = FaultOf<'hang-machines' | 'take-machines'>;
+type ServiceFault = FaultOf<'refuse-state' | 'state-outage' | 'late-writes'>;
+type MessageFault = FaultOf<'late-starts' | 'copies' | 'slow-network'>;
+type HostFilter = (host: string) => boolean;
+
+export class FaultInjector {
+  constructor(
+    private readonly deployment: SoakDeployment,
+    private readonly random: SeededRandom,
+    /** Copies of reports arrive this late at most. */
+    private readonly copiesUpToMs: number,
+  ) {}
+
+  async bring(fault: Fault): Promise<void> {
+    switch (fault.kind) {
+      case 'kill':
+      case 'kill-leader':
+      case 'pause':
+        return this.process(fault);
+      case 'hang-machines':
+      case 'take-machines':
+        this.machine(fault);
+        return;
+      case 'refuse-state':
+      case 'state-outage':
+      case 'late-writes':
+        this.service(fault);
+        return;
+      case 'late-starts':
+      case 'copies':
+      case 'slow-network':
+        this.message(fault);
+        return;
+      default:
+        this.link(fault);
+    }
+  }
+
+  private get standIns(): SoakDeployment['standIns'] {
+    return this.deployment.standIns;
+  }
+
+  private nameOf(controller: number | 'leader'): string {
+    return controller === 'leader' ? (this.standIns.leader() ?? NAMES[0]) : NAMES[controller];
+  }
+
+  private async process(fault: ProcessFault): Promise<void> {
+    if (fault.kind === 'kill') return this.deployment.kill(NAMES[fault.controller], fault.downMs);
+    if (fault.kind === 'pause') {
+      this.deployment.pause(this.nameOf(fault.controller), fault.forMs);
+      return;
+    }
+    for (let i = 0; i < fault.times; i++) {
+      await this.deployment.kill(this.nameOf('leader'), fault.downMs);
+      await delay(fault.everyMs);
+    }
+  }
+
+  private readonly isController: HostFilter = (host) =>
+    NAMES.some((name) => this.deployment.addressOf(name) === host);
+
+  private readonly isMachine: HostFilter = (host) => this.standIns.isMachine(host);
+
+  private someMachines(share: number): HostFilter {
+    const hosts = [...this.standIns.network.hosts.keys()].filter(this.isMachine);
+    const chosen = new Set(hosts.filter(() => this.random.chance(share)));
+    return (host) => chosen.has(host);
+  }
+
+  private link(fault: LinkFault): void {
+    const { network, clock } = this.standIns;
+    const until = clock.time + fault.forMs;
+    const all: HostFilter = () => true;
+    if (fault.kind === 'cut-peers') {
+      this.deployment.cutPeers(this.nameOf(fault.controller), fault.mode, fault.forMs);
+    } else if (fault.kind === 'cut-reports' || fault.kind === 'cut-commands') {
+      const address = this.deployment.addressOf(this.nameOf(fault.controller));
+      const controller: HostFilter = (host) => host === address;
+      const isReports = fault.kind === 'cut-reports';
+      const [a, b] = isReports ? [this.isMachine, controller] : [controller, this.isMachine];
+      network.cuts.push({ a, b, until, mode: fault.mode, oneWay: true });
+    } else if (fault.kind === 'cut-machines') {
+      network.cuts.push({ a: this.someMachines(fault.share), b: all, until, mode: fault.mode });
+    } else if (fault.kind === 'mute-machines') {
+      const a = this.someMachines(fault.share);
+      network.cuts.push({ a, b: this.isController, until, mode: 'reset', opensOnly: true });
+    } else {
+      network.cuts.push({ a: all, b: this.someMachines(fault.share), until, mode: 'hold', oneWay: true });
+    }
+  }
+
+  private machine(fault: MachineFault): void {
+    const { network, cloud, clock } = this.standIns;
+    if (fault.kind === 'hang-machines') {
+      const chosen = this.someMachines(fault.share);
+      for (const [name, host] of network.hosts) if (chosen(name)) host.hangsUntil = clock.time + fault.forMs;
+      return;
+    }
+    for (const machine of [...cloud.machines.values()])
+      if (machine.spot && machine.worker && this.random.chance(fault.share)) cloud.take(machine);
+  }
+
+  private service(fault: ServiceFault): void {
+    const { state, clock } = this.standIns;
+    if (fault.kind === 'state-outage') state.outage(fault.forMs);
+    else if (fault.kind === 'late-writes')
+      state.lateWrites = { share: fault.share, until: clock.time + fault.forMs };
+    else state.refuse(this.deployment.addressOf(this.nameOf(fault.controller)), fault.forMs);
+  }
+
+  private message(fault: MessageFault): void {
+    const { network, clock } = this.standIns;
+    if (fault.kind === 'late-starts') {
+      this.standIns.lateStarts = { byMs: fault.byMs, until: clock.time + fault.forMs };
+    } else if (fault.kind === 'copies') {
+      const to = (): string => this.deployment.addressOf(this.nameOf('leader'));
+      network.copies = { path: '/agent/beat', chance: fault.chance, upToMs: this.copiesUpToMs, to };
+      clock.after(fault.forMs, () => (network.copies = null));
+    } else {
+      network.slow = fault.factor;
+      clock.after(fault.forMs, () => (network.slow = 1));
+    }
+  }
+}
--- /dev/null
+++ b/test/soak/fault-schedule.ts
@@ -0,0 +1,80 @@
+/** Which faults a run of the soak test has, and when: a pure function of the seed. */
+import { SeededRandom } from '../sim/random.js';
+
+export type LinkMode = 'hold' | 'reset';
+
+/** `controller` is an index; `share` is of the machines, chosen by the run's seed. */
+export type Fault =
+  | { kind: 'kill'; controller: number; downMs: number }
+  | { kind: 'kill-leader'; times: number; everyMs: number; downMs: number }
+  | { kind: 'pause'; controller: number | 'leader'; forMs: number }
+  | { kind: 'cut-reports'; controller: number | 'leader'; forMs: number; mode: LinkMode }
+  | { kind: 'cut-commands'; controller: number | 'leader'; forMs: number; mode: LinkMode }
+  | { kind: 'cut-machines'; share: number; forMs: number; mode: LinkMode }
+  | { kind: 'mute-machines'; share: number; forMs: number }
+  | { kind: 'deafen-machines'; share: number; forMs: number }
+  | { kind: 'hang-machines'; share: number; forMs: number }
+  | { kind: 'take-machines'; share: number }
+  | { kind: 'refuse-state'; controller: number | 'leader'; forMs: number }
+  | { kind: 'state-outage'; forMs: number }
+  | { kind: 'late-writes'; share: number; forMs: number }
+  | { kind: 'late-starts'; byMs: number; forMs: number }
+  | { kind: 'cut-peers'; controller: number | 'leader'; forMs: number; mode: LinkMode }
+  | { kind: 'copies'; chance: number; forMs: number }
+  | { kind: 'slow-network'; factor: number; forMs: number };
+
+export interface ScheduledFault {
+  atMs: number;
+  fault: Fault;
+}
+
+export interface ScheduleOptions {
+  controllers: number;
+  /** Faults begin within this time. */
+  durationMs: number;
+  leaseMs: number;
+}
+
+/** Each moment with faults has so many of them at most, so that troubles meet. */
+const MOST_AT_ONCE = 3;
+const LEAST_GAP_MS = 900;
+const MOST_GAP_MS = 2600;
+
+export function faultSchedule(seed: number, options: ScheduleOptions): ScheduledFault[] {
+  const random = new SeededRandom(seed);
+  const schedule: ScheduledFault[] = [];
+  for (let atMs = 0; atMs < options.durationMs; atMs += random.between(LEAST_GAP_MS, MOST_GAP_MS)) {
+    const count = random.int(1, MOST_AT_ONCE);
+    for (let i = 0; i < count; i++)
+      schedule.push({ atMs: atMs + i * random.between(0, 400), fault: drawFault(random, options) });
+  }
+  return schedule.sort((a, b) => a.atMs - b.atMs);
+}
+
+function drawFault(random: SeededRandom, { controllers, leaseMs }: ScheduleOptions): Fault {
+  const forMs = Math.round(random.between(500, 1.5 * leaseMs));
+  const share = random.between(0.1, 0.7);
+  const mode = random.pick<LinkMode>(['hold', 'reset']);
+  const controller = random.chance(0.5) ? 'leader' : random.int(0, controllers - 1);
+  const downMs = random.pick([50, 500, 3000]);
+  const draws: Fault[] = [
+    { kind: 'kill', controller: random.int(0, controllers - 1), downMs },
+    { kind: 'kill-leader', times: random.int(1, 4), everyMs: 2500, downMs },
+    { kind: 'pause', controller, forMs },
+    { kind: 'cut-reports', controller, forMs, mode },
+    { kind: 'cut-commands', controller, forMs, mode },
+    { kind: 'cut-machines', share, forMs, mode },
+    { kind: 'mute-machines', share, forMs: leaseMs + random.between(0, 1000) },
+    { kind: 'deafen-machines', share: share / 2, forMs },
+    { kind: 'hang-machines', share, forMs: random.between(500, leaseMs) },
+    { kind: 'take-machines', share: share / 3 },
+    { kind: 'refuse-state', controller, forMs },
+    { kind: 'state-outage', forMs: forMs / 2 },
+    { kind: 'late-writes', share: random.between(0.05, 0.3), forMs },
+    { kind: 'late-starts', byMs: random.between(300, 1400), forMs },
+    { kind: 'cut-peers', controller, forMs, mode },
+    { kind: 'copies', chance: random.between(0.05, 0.4), forMs },
+    { kind: 'slow-network', factor: random.between(3, 30), forMs },
+  ];
+  return random.pick(draws);
+}
--- /dev/null
+++ b/test/soak/peer-relay.ts
@@ -0,0 +1,71 @@
+/** A TCP relay between two controllers, whose link can be held or cut while both processes go on. */
+import { type Server, type Socket, connect, createServer } from 'node:net';
+import type { LinkMode } from './fault-schedule.js';
+
+const HOST = '127.0.0.1';
+
+export class PeerRelay {
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+  private cutUntil = 0;
+  private mode: LinkMode = 'reset';
+
+  private constructor(private readonly target: string) {
+    this.server = createServer((incoming) => {
+      this.relay(incoming);
+    });
+  }
+
+  static async to(target: string, port: number): Promise<PeerRelay> {
+    const relay = new PeerRelay(target);
+    await new Promise<void>((done, failed) => {
+      relay.server.once('error', failed);
+      relay.server.listen(port, HOST, done);
+    });
+    return relay;
+  }
+
+  /** Held bytes arrive after the cut; a reset ends the connections and refuses new ones. */
+  cut(mode: LinkMode, forMs: number): void {
+    this.mode = mode;
+    this.cutUntil = performance.now() + forMs;
+    for (const socket of this.sockets)
+      if (mode === 'reset') socket.destroy();
+      else socket.pause();
+    setTimeout(() => {
+      if (!this.isCut()) for (const socket of this.sockets) socket.resume();
+    }, forMs + 1);
+  }
+
+  close(): void {
+    this.server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+
+  private isCut(): boolean {
+    return performance.now() < this.cutUntil;
+  }
+
+  private relay(incoming: Socket): void {
+    if (this.isCut() && this.mode === 'reset') {
+      incoming.destroy();
+      return;
+    }
+    const outgoing = connect(Number(this.target.slice(this.target.lastIndexOf(':') + 1)), HOST);
+    this.forward(incoming, outgoing);
+    this.forward(outgoing, incoming);
+    if (!this.isCut()) return;
+    incoming.pause();
+    outgoing.pause();
+  }
+
+  private forward(from: Socket, to: Socket): void {
+    this.sockets.add(from);
+    from.on('data', (data) => to.write(data));
+    from.on('error', () => to.destroy());
+    from.on('close', () => {
+      this.sockets.delete(from);
+      to.destroy();
+    });
+  }
+}
--- /dev/null
+++ b/test/soak/soak-deployment.ts
@@ -0,0 +1,216 @@
+/** Controllers as real processes on loopback, with links between them and to the stand-ins that can be cut. */
+import { type ChildProcess, spawn } from 'node:child_process';
+import { createWriteStream, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { LinkMode } from './fault-schedule.js';
+import { LoopbackStandIns, freePort } from '../sim/loopback.js';
+import { PeerRelay } from './peer-relay.js';
+
+export interface SoakSize {
+  /** Machines in each of the two zones, of each kind. */
+  machinesPerPool: number;
+  /** CPUs that each team may use. */
+  teamLimit: number;
+  reportS: number;
+  leaseS: number;
+  cancelS: number;
+}
+
+export const TEAMS = ['t0', 't1'];
+export const NAMES = ['n0', 'n1', 'n2'];
+const ZONES = ['a', 'b', 'a'];
+const LEADER_LEASE_MS = 1500;
+const LEASE_AFTER_REPORTS = { gangWaitS: 6, gangPeerS: 2 };
+
+interface Controller {
+  name: string;
+  zone: string;
+  address: string;
+  peerAddress: string;
+  process: ChildProcess | null;
+}
+
+export class SoakDeployment {
+  private readonly directory = mkdtempSync(join(tmpdir(), 'millring-soak-'));
+  private readonly relays = new Map<string, PeerRelay>();
+  private stopping = false;
+
+  private constructor(
+    private readonly program: string,
+    private readonly size: SoakSize,
+    private readonly controllers: Controller[],
+    readonly standIns: LoopbackStandIns,
+  ) {}
+
+  static async start(program: string, seed: number, size: SoakSize): Promise<SoakDeployment> {
+    const controllers: Controller[] = [];
+    for (const [index, name] of NAMES.entries())
+      controllers.push({
+        name,
+        zone: ZONES[index],
+        address: `127.0.0.1:${await freePort()}`,
+        peerAddress: `127.0.0.1:${await freePort()}`,
+        process: null,
+      });
+    const standIns = new LoopbackStandIns({
+      seed,
+      controllers,
+      machinesPerPool: size.machinesPerPool,
+      reportMs: size.reportS * 1000,
+      leaseMs: size.leaseS * 1000,
+      cancelMs: size.cancelS * 1000,
+      limits: new Map(TEAMS.map((team) => [team, size.teamLimit])),
+      throughNetwork: true,
+    });
+    const deployment = new SoakDeployment(program, size, controllers, standIns);
+    await deployment.open();
+    return deployment;
+  }
+
+  private async open(): Promise<void> {
+    await this.standIns.start();
+    for (const from of this.controllers)
+      for (const to of this.controllers) if (from !== to) await this.openRelay(from, to);
+    writeFileSync(
+      join(this.directory, 'operator.json'),
+      JSON.stringify({ leader_lease_ms: LEADER_LEASE_MS }),
+    );
+    for (const controller of this.controllers) {
+      writeFileSync(this.configOf(controller), this.settingsOf(controller));
+      this.spawn(controller);
+    }
+  }
+
+  private async openRelay(from: Controller, to: Controller): Promise<void> {
+    const port = await freePort();
+    this.relays.set(`${from.name}>${to.name}`, await PeerRelay.to(to.peerAddress, port));
+    this.relayAddresses.set(`${from.name}>${to.name}`, `127.0.0.1:${port}`);
+  }
+
+  private readonly relayAddresses = new Map<string, string>();
+
+  private configOf({ name }: Controller): string {
+    return join(this.directory, `${name}.toml`);
+  }
+
+  private settingsOf(controller: Controller): string {
+    const { name, zone, address, peerAddress } = controller;
+    const { reportS, leaseS, cancelS, teamLimit } = this.size;
+    const others = this.controllers
+      .filter((other) => other !== controller)
+      .map((other) => {
+        const relay = this.relayAddresses.get(`${name}>${other.name}`) ?? other.peerAddress;
+        return `[[others]]\nnode_name = "${other.name}"\nlocation = "${other.zone}"\npeer_addr = "${relay}"`;
+      });
+    const teams = TEAMS.map(
+      (team) =>
+        `[[params.teams]]\nname = "${team}"\ncpus = 8\ncpus_max = ${teamLimit}\ngpus = 0\ngpus_max = 0`,
+    );
+    return `node_name = "${name}"
+location = "${zone}"
+listen = "${address}"
+peer_bind = "${peerAddress}"
+${others.join('\n')}
+[outside]
+state = "${this.standIns.stateAddressOf(name)}"
+cloud = "${this.standIns.cloudAddressOf(name)}"
+[params]
+nodes = ${NAMES.length}
+${teams.join('\n')}
+[params.workers]
+report_s = ${reportS}
+lease_s = ${leaseS}
+cancel_s = ${cancelS}
+gang_wait_s = ${LEASE_AFTER_REPORTS.gangWaitS}
+gang_peer_s = ${LEASE_AFTER_REPORTS.gangPeerS}
+[params.state]
+rps = 400
+write_rps = 100
+value_kb = 4
+txn_ops = 12
+[params.cloud]
+rps = 20
+list_lag_s = 2
+[params.machine_limits]
+sockets = 1000
+`;
+  }
+
+  private logOf({ name }: Controller): string {
+    return join(this.directory, `${name}.log`);
+  }
+
+  /** What a controller wrote in all its lives. */
+  logs(): { name: string; text: string }[] {
+    return this.controllers.map((controller) => ({
+      name: controller.name,
+      text: readFileSync(this.logOf(controller), 'utf8'),
+    }));
+  }
+
+  private spawn(controller: Controller): void {
+    const args = [this.program, '--operator', join(this.directory, 'operator.json')];
+    const child = spawn(process.execPath, [...args, '--config', this.configOf(controller)], {
+      env: { ...process.env, LOG_LEVEL: 'info' },
+      stdio: ['ignore', 'ignore', 'pipe'],
+    });
+    child.stderr.pipe(createWriteStream(this.logOf(controller), { flags: 'a' }));
+    controller.process = child;
+  }
+
+  /** Ends the process without a signal that it could answer; it comes back after a while. */
+  async kill(name: string, downMs: number): Promise<void> {
+    const controller = this.named(name);
+    const child = controller.process;
+    if (!child) return;
+    controller.process = null;
+    await ended(child);
+    setTimeout(() => {
+      if (!this.stopping) this.spawn(controller);
+    }, downMs);
+  }
+
+  /** The process stands still while its clocks run on. */
+  pause(name: string, forMs: number): void {
+    const child = this.named(name).process;
+    child?.kill('SIGSTOP');
+    setTimeout(() => child?.kill('SIGCONT'), forMs);
+  }
+
+  cutPeers(name: string, mode: LinkMode, forMs: number): void {
+    for (const [link, relay] of this.relays) if (link.split('>').includes(name)) relay.cut(mode, forMs);
+  }
+
+  addressOf(name: string): string {
+    return this.named(name).address;
+  }
+
+  /** Processes that are down although nobody ended them. */
+  endedByThemselves(): string[] {
+    return this.controllers
+      .filter(({ process: child }) => child !== null && child.exitCode !== null)
+      .map(({ name }) => name);
+  }
+
+  private named(name: string): Controller {
+    const controller = this.controllers.find((candidate) => candidate.name === name);
+    if (!controller) throw new Error(`no controller ${name}`);
+    return controller;
+  }
+
+  async stop(): Promise<void> {
+    this.stopping = true;
+    for (const { process: child } of this.controllers) if (child) await ended(child);
+    for (const relay of this.relays.values()) relay.close();
+    this.standIns.stop();
+    rmSync(this.directory, { recursive: true });
+  }
+}
+
+async function ended(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  const exit = new Promise((done) => child.once('exit', done));
+  child.kill('SIGKILL');
+  await exit;
+}
--- /dev/null
+++ b/test/soak/soak-run.ts
@@ -0,0 +1,220 @@
+/**
+ * One run of the soak test: jobs come at all controllers while faults happen by the schedule of a seed; afterwards
+ * everything has to end. All rules are checked on the stand-ins' own histories. The faults, their times and the jobs
+ * are drawn from the seed; what meets what is decided by real time as well, so that a run does not repeat exactly.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Body } from '../../src/wire/cbor.js';
+import { BATCH, DESK, GANG } from '../sim/jobs.js';
+import { SeededRandom } from '../sim/random.js';
+import { type JobFacts, jobFacts } from '../sim/rules.js';
+import { FaultInjector } from './fault-injector.js';
+import { type ScheduledFault, faultSchedule } from './fault-schedule.js';
+import { NAMES, SoakDeployment, type SoakSize, TEAMS } from './soak-deployment.js';
+
+export interface SoakResult {
+  seed: number;
+  machines: number;
+  jobs: number;
+  starts: number;
+  /** The highest use that any team had, as a share of its limit. */
+  peakShare: number;
+  broken: string[];
+  schedule: ScheduledFault[];
+  /** Only of a run that broke something. */
+  logs: { name: string; text: string }[];
+  /** The last starts and exits of tasks before the run ended, with times. */
+  history: string[];
+}
+
+const SMALL: SoakSize = { machinesPerPool: 3, teamLimit: 30, reportS: 0.5, leaseS: 5, cancelS: 14 };
+const LARGE: SoakSize = { machinesPerPool: 60, teamLimit: 400, reportS: 2, leaseS: 8, cancelS: 20 };
+/** Each of so many seeds runs at the large size. */
+const LARGE_EVERY = 10;
+/** Until the controllers serve. */
+const BEGIN_MS = 3000;
+const FAULTS_MS = 16_000;
+/** Faults last, and machines boot, for some seconds longer. */
+const CALM_MS = 9000;
+/** No run waits for longer for its jobs to end. */
+const SETTLE_MS = 90_000;
+const USER_RETRY_MS = 300;
+/** Recorded times are taken within one step of the stand-ins' clock. */
+const STEP_MARGIN_MS = 50;
+const HISTORY_LINES = 400;
+
+export function sizeOf(seed: number): SoakSize {
+  return seed % LARGE_EVERY === 0 ? LARGE : SMALL;
+}
+
+class SoakRun {
+  private readonly random: SeededRandom;
+  private readonly injector: FaultInjector;
+  private submitting = true;
+  private nextJob = 1;
+  private peakShare = 0;
+  private readonly history: string[] = [];
+
+  constructor(
+    private readonly seed: number,
+    private readonly size: SoakSize,
+    private readonly deployment: SoakDeployment,
+  ) {
+    this.random = new SeededRandom(seed + 1_000_000);
+    this.injector = new FaultInjector(deployment, this.random, 2 * size.leaseS * 1000);
+    this.recordHistory();
+  }
+
+  private get standIns(): SoakDeployment['standIns'] {
+    return this.deployment.standIns;
+  }
+
+  private recordHistory(): void {
+    const { rules, clock } = this.standIns;
+    const note = (line: string): void => {
+      this.history.push(`${Math.round(clock.time)} ${line}`);
+      if (this.history.length > HISTORY_LINES) this.history.shift();
+    };
+    const start = rules.start.bind(rules);
+    const leave = rules.leave.bind(rules);
+    rules.start = (task, place) => {
+      note(`start ${task} on ${place.machine}`);
+      start(task, place);
+      const used = Math.max(...TEAMS.map((team) => rules.usedCpus(team)));
+      this.peakShare = Math.max(this.peakShare, used / this.size.teamLimit);
+    };
+    rules.leave = (task, machine, done) => {
+      note(`leave ${task} on ${machine}${done ? ' done' : ''}`);
+      leave(task, machine, done);
+    };
+  }
+
+  async play(schedule: ScheduledFault[]): Promise<void> {
+    await delay(BEGIN_MS);
+    void this.submit();
+    for (const { atMs, fault } of schedule) setTimeout(() => void this.injector.bring(fault), atMs);
+    await delay(FAULTS_MS);
+    this.submitting = false;
+    await delay(CALM_MS);
+    this.standIns.network.copies = null;
+    await this.settle();
+  }
+
+  // Users.
+
+  private async submit(): Promise<void> {
+    while (this.submitting) {
+      const body = this.jobBody();
+      void this.user(body, this.random.chance(0.3) ? this.random.between(0, 12_000) : null);
+      await delay(this.random.between(150, 700));
+    }
+  }
+
+  private jobBody(): Body {
+    const kind = this.random.pick([DESK, BATCH, BATCH, BATCH, GANG]);
+    const scale = this.size.teamLimit / SMALL.teamLimit;
+    const over = kind === BATCH ? { sacks: this.random.int(1, Math.round(15 * scale)) } : {};
+    return {
+      id: `run-${String(this.nextJob++).padStart(6, '0')}`,
+      miller: this.random.pick(TEAMS),
+      vcpus: 2,
+      gpus: 0,
+      ram_gb: 1,
+      seed: `img-${this.random.int(0, 2)}`,
+      image_gb: 0.2,
+      stone_kinds: null,
+      yard: null,
+      grind_s: this.random.between(0.5, 5),
+      bin_every_s: 0,
+      bin_s: 0,
+      ...kind,
+      ...(kind === DESK ? { sacks: this.random.pick([1, 2]) } : {}),
+      ...over,
+    };
+  }
+
+  private async user(body: Body, cancelAfterMs: number | null): Promise<void> {
+    const id = String(body.id);
+    const { rules, clock } = this.standIns;
+    const facts = jobFacts(body, clock.time);
+    rules.jobs.set(id, facts);
+    while (!(await this.told(id, 'POST', '/v1/jobs', body))) await delay(USER_RETRY_MS);
+    // Services would hold their team's room for ever.
+    const until = cancelAfterMs ?? (body.grind === 'daemon' ? this.random.between(8000, 20_000) : null);
+    if (until !== null) void this.cancelLater(id, facts, until);
+    while (facts.toldDoneAt === null && facts.toldCancelledAt === null) {
+      await delay(this.random.between(200, 900));
+      if (this.random.chance(0.1)) await this.told(id, 'POST', '/v1/jobs', body);
+      else await this.told(id, 'GET', `/v1/jobs/${id}`, null);
+    }
+  }
+
+  private async cancelLater(id: string, facts: JobFacts, afterMs: number): Promise<void> {
+    await delay(afterMs);
+    facts.cancelAsked = true;
+    while (!(await this.told(id, 'POST', `/v1/jobs/${id}/withdraw`, null))) await delay(USER_RETRY_MS);
+  }
+
+  /** Asks a controller; false if the request has to be repeated. */
+  private async told(id: string, method: 'GET' | 'POST', path: string, body: Body | null): Promise<boolean> {
+    const { rules, clock } = this.standIns;
+    const asked = clock.time - STEP_MARGIN_MS;
+    const address = this.deployment.addressOf(this.random.pick(NAMES));
+    const reply = await this.standIns.ask(address, method, path, body);
+    const refused = reply.status === 400 || reply.status === 422;
+    if (refused) rules.break('forgotten', `${id} got ${reply.status}`);
+    else if (reply.status !== 0) rules.told(id, reply.status, reply.body.condition, asked);
+    return reply.status === 200 || reply.status === 201;
+  }
+
+  /** Every job is over, as its user was told, and nothing is left on any machine. */
+  private async settle(): Promise<void> {
+    const { rules } = this.standIns;
+    const end = performance.now() + SETTLE_MS;
+    const open = (): string[] =>
+      [...rules.jobs]
+        .filter(([, facts]) => facts.toldDoneAt === null && facts.toldCancelledAt === null)
+        .map(([id]) => id);
+    while (performance.now() < end && rules.broken.length === 0) {
+      if (open().length === 0 && rules.on.size === 0) return;
+      await delay(200);
+    }
+    for (const id of open()) rules.break('not_over', id);
+    for (const task of rules.on.keys()) rules.break('left_over', task);
+  }
+
+  result(schedule: ScheduledFault[]): SoakResult {
+    const { rules } = this.standIns;
+    for (const name of this.deployment.endedByThemselves()) rules.break('ended', name);
+    const failed = rules.broken.length > 0;
+    return {
+      seed: this.seed,
+      machines: 4 * this.size.machinesPerPool,
+      jobs: rules.jobs.size,
+      starts: rules.starts,
+      peakShare: this.peakShare,
+      broken: rules.broken,
+      schedule,
+      logs: failed ? this.deployment.logs() : [],
+      history: this.history,
+    };
+  }
+}
+
+/** `program` is a bundle of the controller. */
+export async function runSoak(program: string, seed: number): Promise<SoakResult> {
+  const size = sizeOf(seed);
+  const deployment = await SoakDeployment.start(program, seed, size);
+  try {
+    const schedule = faultSchedule(seed, {
+      controllers: NAMES.length,
+      durationMs: FAULTS_MS,
+      leaseMs: size.leaseS * 1000,
+    });
+    const run = new SoakRun(seed, size, deployment);
+    await run.play(schedule);
+    return run.result(schedule);
+  } finally {
+    await deployment.stop();
+  }
+}
