Failing test: the report of a machine that is gone is taken over, and its tasks count for ever

A machine's deletion is confirmed, its attempts vanish, and a millisecond later the answer to a request that was on its way brings a report: it was taken over for a machine that is not in the table any more. It takes room from a team, it does not give it any.

--- a/test/team-usage.test.ts
+++ b/test/team-usage.test.ts
@@ -83,7 +83,8 @@
     },
   };
   const decisions = new DecisionLog(log);
-  const table = new MachineTable(TOKEN, 10_000, () => undefined, {
+  const job = new Job(0, spec(), 1, 0, true, 0);
+  const table = new MachineTable(TOKEN, 10_000, (id) => (id === 'run-1' ? job : undefined), {
     attemptAdded: (attempt) => {
       decisions.started(attempt, usage.standing('t'), 0);
       usage.hold(attempt.job!.spec);
@@ -94,7 +95,6 @@
   });
   const machine = table.add('m1', 'm1:1', TYPE, 'a', false, 0);
   Object.assign(machine, { stored: true, reported: true, token: TOKEN });
-  const job = new Job(0, spec(), 1, 0, true, 0);
   for (let task = 0; task < tasks; task++) table.hold(machine, 'run-1', job, task, task, 0);
   return { table, machine, job, usage, errors, audit: new UsageAudit({ table, usage, decisions, log }) };
 }
@@ -163,3 +163,27 @@
   table.drop(old, 0);
   assert.deepEqual([...machine.attempts.values()], [replacement]);
 });
+
+// The answer of a machine was on its way when its deletion was confirmed. The report in it was taken over for a machine
+// that was no longer in the table: its tasks counted from then on, no audit of machines passed them, and none of them
+// was ever started elsewhere. The audit's error showed both attempts vanish at 130756 ms and found again at 130757 ms.
+test('the report of a machine that is gone holds nothing', () => {
+  const { table, machine, job, usage } = audited(20, 1);
+  table.remove(machine, 0);
+  const report = {
+    machine: machine.id,
+    endpoint: machine.endpoint,
+    type: 'm',
+    zone: 'a',
+    spot: false,
+    session: 1,
+    seq: 7,
+    token: TOKEN,
+    noticeS: null,
+    tasks: [{ job: 'run-1', taskNumber: 0, attempt: 0, state: 'running' as const, cause: null }],
+  };
+  assert.equal(table.apply(machine, report, 1), false);
+  assert.equal(machine.attempts.size, 0);
+  assert.equal(job.running, 0);
+  assert.equal(usage.standing('t')!.used.cpus, 0);
+});
