Reports of machines that are no longer in the table change nothing

Cause: requests to a machine may be answered just after its deletion was confirmed; `MachineTable.apply` took the report over for the removed machine. Its tasks counted for the rest of the leader's term, and were started nowhere else.

Change: a report is taken over only for the machine that the table has under that name.

--- a/src/leadership/leader-term.ts
+++ b/src/leadership/leader-term.ts
@@ -417,7 +417,7 @@
   private applyReport(m: Machine, r: WorkerReport): void {
     const now = this.deps.world.clock.now();
     const fresh = r.session > m.session || (r.session === m.session && r.seq > m.seq);
-    if (!fresh) return;
+    if (!fresh || !this.table.holds(m)) return;
     m.heardAt = now;
     this.contact.heard(now);
     const wasUsable = m.certain();
--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -66,6 +66,14 @@
     return this.byId.get(id);
   }
 
+  /**
+   * Is this the machine that the table has under its name? An answer that was on its way when the machine was removed
+   * must change nothing: what it showed would count for ever, and no other place would ever start it again.
+   */
+  holds(machine: Machine): boolean {
+    return this.byId.get(machine.id) === machine;
+  }
+
   add(id: string, endpoint: string, type: MachineType, zone: string, spot: boolean, now: number): Machine {
     const m = new Machine(this.nextIndex++, id, endpoint, type, zone, spot, this.baseToken, now);
     this.byId.set(id, m);
@@ -191,6 +199,7 @@
    * if its start cannot be executed any more: it was answered, or the machine has shown the raised token.
    */
   apply(m: Machine, r: WorkerReport, now: number): boolean {
+    if (!this.holds(m)) return false;
     if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return false;
     if (r.session > m.session) this.beginSession(m, r.session, now);
     this.applyState(m, r, now);
