--- a/test/soak/fault-schedule.ts
+++ b/test/soak/fault-schedule.ts
@@ -37,6 +37,8 @@
 
 /** Each moment with faults has so many of them at most, so that troubles meet. */
 const MOST_AT_ONCE = 3;
+/** How often two or three faults are brought together on purpose. */
+const MEETING_SHARE = 0.4;
 const LEAST_GAP_MS = 900;
 const MOST_GAP_MS = 2600;
 
@@ -44,6 +46,10 @@
   const random = new SeededRandom(seed);
   const schedule: ScheduledFault[] = [];
   for (let atMs = 0; atMs < options.durationMs; atMs += random.between(LEAST_GAP_MS, MOST_GAP_MS)) {
+    if (random.chance(MEETING_SHARE)) {
+      schedule.push(...drawMeeting(random, atMs, options));
+      continue;
+    }
     const count = random.int(1, MOST_AT_ONCE);
     for (let i = 0; i < count; i++)
       schedule.push({ atMs: atMs + i * random.between(0, 400), fault: drawFault(random, options) });
@@ -51,6 +57,33 @@
   return schedule.sort((a, b) => a.atMs - b.atMs);
 }
 
+/** Faults that harm only when one follows the other at the right time: chance alone seldom brings them together. */
+function drawMeeting(random: SeededRandom, atMs: number, { leaseMs }: ScheduleOptions): ScheduledFault[] {
+  const share = random.between(0.3, 0.9);
+  const nearLeaseEnd = atMs + leaseMs * random.between(0.75, 1);
+  const meetings: ScheduledFault[][] = [
+    // Starts for sessions that end while they are on their way.
+    [
+      { atMs, fault: { kind: 'mute-machines', share, forMs: leaseMs + 50 } },
+      { atMs: nearLeaseEnd, fault: { kind: 'late-starts', byMs: random.between(1500, 2300), forMs: 2500 } },
+    ],
+    [
+      { atMs, fault: { kind: 'hang-machines', share, forMs: 0.9 * leaseMs } },
+      { atMs: atMs + 300, fault: { kind: 'kill-leader', times: 2, everyMs: 1500, downMs: 500 } },
+    ],
+    [
+      { atMs, fault: { kind: 'refuse-state', controller: 'leader', forMs: leaseMs } },
+      { atMs: atMs + 1000, fault: { kind: 'state-outage', forMs: leaseMs } },
+    ],
+    [
+      { atMs, fault: { kind: 'cut-machines', share, forMs: 0.8 * leaseMs, mode: 'hold' } },
+      { atMs: atMs + 500, fault: { kind: 'copies', chance: 0.3, forMs: 2 * leaseMs } },
+      { atMs: atMs + 700, fault: { kind: 'kill-leader', times: 1, everyMs: 0, downMs: 50 } },
+    ],
+  ];
+  return random.pick(meetings);
+}
+
 function drawFault(random: SeededRandom, { controllers, leaseMs }: ScheduleOptions): Fault {
   const forMs = Math.round(random.between(500, 1.5 * leaseMs));
   const share = random.between(0.1, 0.7);
