--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -5,6 +5,7 @@
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Body } from '../../src/wire/cbor.js';
+import { USAGE_FAULT } from '../../src/placement/usage-audit.js';
 import { BATCH, DESK, GANG } from '../sim/jobs.js';
 import { SeededRandom } from '../sim/random.js';
 import { type JobFacts, jobFacts } from '../sim/rules.js';
@@ -186,7 +187,9 @@
   result(schedule: ScheduledFault[]): SoakResult {
     const { rules } = this.standIns;
     for (const name of this.deployment.endedByThemselves()) rules.break('ended', name);
-    const failed = rules.broken.length > 0;
+    const logs = this.deployment.logs();
+    // The service goes on after a broken invariant; a test must not.
+    for (const { name, text } of logs) if (text.includes(USAGE_FAULT)) rules.break('usage_fault', name);
     return {
       seed: this.seed,
       machines: 4 * this.size.machinesPerPool,
@@ -195,7 +198,7 @@
       peakShare: this.peakShare,
       broken: rules.broken,
       schedule,
-      logs: failed ? this.deployment.logs() : [],
+      logs: rules.broken.length > 0 ? logs : [],
       history: this.history,
     };
   }
