--- a/test/soak/fault-schedule.ts
+++ b/test/soak/fault-schedule.ts
@@ -60,12 +60,12 @@
 /** Faults that harm only when one follows the other at the right time: chance alone seldom brings them together. */
 function drawMeeting(random: SeededRandom, atMs: number, { leaseMs }: ScheduleOptions): ScheduledFault[] {
   const share = random.between(0.3, 0.9);
-  const nearLeaseEnd = atMs + leaseMs * random.between(0.75, 1);
+  const nearLeaseEnd = atMs + leaseMs * random.between(0.75, 0.85);
   const meetings: ScheduledFault[][] = [
     // Starts for sessions that end while they are on their way.
     [
-      { atMs, fault: { kind: 'mute-machines', share, forMs: leaseMs + 50 } },
-      { atMs: nearLeaseEnd, fault: { kind: 'late-starts', byMs: random.between(1500, 2300), forMs: 2500 } },
+      { atMs, fault: { kind: 'mute-machines', share: 1, forMs: leaseMs + 50 } },
+      { atMs: nearLeaseEnd, fault: { kind: 'late-starts', byMs: random.between(1900, 2300), forMs: 2500 } },
     ],
     [
       { atMs, fault: { kind: 'hang-machines', share, forMs: 0.9 * leaseMs } },
