--- a/src/jobs/api.ts
+++ b/src/jobs/api.ts
@@ -1,6 +1,7 @@
 /** Answers users: submissions, questions about jobs, and cancellations. Any controller serves them. */
 import type { PlatformSettings } from '../settings/platform.js';
 import type { StateStore } from '../state-store/client.js';
+import type { Log } from '../runtime.js';
 import type { Body } from '../wire/cbor.js';
 import type { JobSpec, MachineType } from '../wire/model.js';
 import { type Change } from '../wire/state.js';
@@ -28,6 +29,7 @@
   /** A user is about to be told that the job is cancelled. */
   confirming(id: string): void;
   wallMs(): number;
+  log: Log;
 }
 
 type Known =
@@ -98,7 +100,15 @@
     return { kind: 'ended', ...record };
   }
 
-  private describe(id: string, k: Known): Answer {
+  /** The answer that rests on what was read; the log tells on what. */
+  private describe(id: string, known: Known): Answer {
+    const answer = this.answerFor(id, known);
+    const version = known.kind === 'live' ? known.version : undefined;
+    this.deps.log.debug({ id, status: answer.status, read: known.kind, version }, 'answer');
+    return answer;
+  }
+
+  private answerFor(id: string, k: Known): Answer {
     switch (k.kind) {
       case 'refused':
         return LATER;
@@ -150,7 +160,10 @@
       ],
       [{ put: liveKey(job.id), value: record }],
     );
-    if (t.kind === 'applied') return { status: 201, body: jobAnswer(job.id, 'pending') };
+    if (t.kind === 'applied') {
+      this.deps.log.debug({ id: job.id, status: 201, written: t.revision }, 'answer');
+      return { status: 201, body: jobAnswer(job.id, 'pending') };
+    }
     if (t.kind !== 'conflict') return LATER;
     return this.describe(job.id, await this.look(job.id));
   }
@@ -177,7 +190,10 @@
       // Stored when larger values were allowed: a confirmed cancellation must not depend on that.
       if (t.kind === 'invalid' && k.record)
         t = await this.deps.store.txn(guards, [{ put: liveKey(id), value: minimalCancelled(k.record) }]);
-      if (t.kind === 'applied') return this.cancelled(id);
+      if (t.kind === 'applied') {
+        this.deps.log.debug({ id, status: 200, written: t.revision }, 'answer');
+        return this.cancelled(id);
+      }
       if (t.kind !== 'conflict') return LATER;
     }
     return LATER;
--- a/src/node.ts
+++ b/src/node.ts
@@ -117,6 +117,7 @@
         this.confirming(id);
       },
       wallMs,
+      log: world.log,
     });
   }
 
