Soak: each run opens with one meeting, undisturbed, once machines are busy; settings files are written in one place

Change: odd seeds open with sessions that end under late starts, even ones with leaders that end in series while machines hang; all other faults come after that. A result tells of the leaders' terms. `settingsFile` serves both kinds of controller processes.

--- a/test/sim/controller-processes.ts
+++ b/test/sim/controller-processes.ts
@@ -9,13 +9,17 @@
 import type { RolloutSettings } from '@millring/rollout';
 import { type Body } from '../../src/wire/cbor.js';
 import { bundleController } from './controller-program.js';
+import { GANG_PEER_MS, GANG_WAIT_MS } from './gang-coordinator.js';
 import { LoopbackStandIns, freePort } from './loopback.js';
+import { type ControllerAddresses, settingsFile } from './platform-settings.js';
 import { jobFacts } from './rules.js';
 
 const NAMES = ['n0', 'n1', 'n2'];
 /** No test asks how fast anything is: whoever waits for longer than this has a fault, not a slow machine. */
 const PATIENCE_MS = 180_000;
 const TEAM = 'research';
+const TEAM_LIMIT = 200;
+const REPORT_S = 0.5;
 /** Longer than a busy machine may stand still, so that no worker loses its lease for that. */
 const LEASE_S = 30;
 const CANCEL_S = 60;
@@ -36,10 +40,7 @@
   stderr: string;
 }
 
-interface Controller {
-  name: string;
-  address: string;
-  peerAddress: string;
+interface Controller extends ControllerAddresses {
   process: ChildProcess | null;
 }
 
@@ -87,6 +88,7 @@
     for (const name of NAMES)
       this.controllers.push({
         name,
+        zone: 'a',
         address: `127.0.0.1:${await freePort()}`,
         peerAddress: `127.0.0.1:${await freePort()}`,
         process: null,
@@ -95,10 +97,10 @@
       seed: 1,
       controllers: this.controllers,
       machinesPerPool: 3,
-      reportMs: 500,
+      reportMs: REPORT_S * 1000,
       leaseMs: LEASE_S * 1000,
       cancelMs: CANCEL_S * 1000,
-      limits: new Map([[TEAM, 200]]),
+      limits: new Map([[TEAM, TEAM_LIMIT]]),
     });
     await this.standIns.start();
     writeFileSync(join(this.directory, 'operator.json'), JSON.stringify({ rollout, duties }));
@@ -114,43 +116,19 @@
   }
 
   private settingsOf(controller: Controller): string {
-    const others = this.controllers
-      .filter((other) => other !== controller)
-      .map(
-        (other) =>
-          `[[others]]\nnode_name = "${other.name}"\nlocation = "a"\npeer_addr = "${other.peerAddress}"`,
-      );
-    return `node_name = "${controller.name}"
-location = "a"
-listen = "${controller.address}"
-peer_bind = "${controller.peerAddress}"
-${others.join('\n')}
-[outside]
-state = "${this.standIns.stateAddress}"
-cloud = "${this.standIns.cloudAddress}"
-[params]
-nodes = ${NAMES.length}
-[[params.teams]]
-name = "${TEAM}"
-cpus = 16
-cpus_max = 200
-gpus = 0
-gpus_max = 0
-[params.workers]
-report_s = 0.5
-lease_s = ${LEASE_S}
-cancel_s = ${CANCEL_S}
-[params.state]
-rps = 400
-write_rps = 100
-value_kb = 4
-txn_ops = 12
-[params.cloud]
-rps = 20
-list_lag_s = 1
-[params.machine_limits]
-sockets = 1000
-`;
+    return settingsFile({
+      self: controller,
+      others: this.controllers.filter((other) => other !== controller),
+      stateAddress: this.standIns.stateAddress,
+      cloudAddress: this.standIns.cloudAddress,
+      teams: [{ name: TEAM, cpus: 16, cpusMax: TEAM_LIMIT }],
+      reportS: REPORT_S,
+      leaseS: LEASE_S,
+      cancelS: CANCEL_S,
+      gangWaitS: GANG_WAIT_MS / 1000,
+      gangPeerS: GANG_PEER_MS / 1000,
+      listLagS: 1,
+    });
   }
 
   private named(name: string): Controller {
--- a/test/soak/fault-schedule.ts
+++ b/test/soak/fault-schedule.ts
@@ -39,13 +39,19 @@
 const MOST_AT_ONCE = 3;
 /** How often two or three faults are brought together on purpose. */
 const MEETING_SHARE = 0.4;
+/** The first faults come once machines are up and busy, and all others so many leases later. */
+const OPENING_MS = 9000;
+const OPENING_LEASES = 1.5;
 const LEAST_GAP_MS = 900;
 const MOST_GAP_MS = 2600;
 
 export function faultSchedule(seed: number, options: ScheduleOptions): ScheduledFault[] {
   const random = new SeededRandom(seed);
-  const schedule: ScheduledFault[] = [];
-  for (let atMs = 0; atMs < options.durationMs; atMs += random.between(LEAST_GAP_MS, MOST_GAP_MS)) {
+  // Undisturbed by others, so that it surely comes to what it is meant for.
+  const opening = seed % 2 === 1 ? sessionsEnd(random, OPENING_MS, options) : leaderSeries(random, options);
+  const schedule = [...opening];
+  const openedMs = OPENING_MS + OPENING_LEASES * options.leaseMs;
+  for (let atMs = openedMs; atMs < options.durationMs; atMs += random.between(LEAST_GAP_MS, MOST_GAP_MS)) {
     if (random.chance(MEETING_SHARE)) {
       schedule.push(...drawMeeting(random, atMs, options));
       continue;
@@ -57,16 +63,36 @@
   return schedule.sort((a, b) => a.atMs - b.atMs);
 }
 
+/** Sessions of all workers end while starts for them are on their way. */
+function sessionsEnd(random: SeededRandom, atMs: number, { leaseMs }: ScheduleOptions): ScheduledFault[] {
+  const startsMs = atMs + leaseMs * random.between(0.75, 0.85);
+  return [
+    { atMs, fault: { kind: 'mute-machines', share: 1, forMs: leaseMs + 50 } },
+    { atMs: startsMs, fault: { kind: 'late-starts', byMs: random.between(1900, 2300), forMs: 2500 } },
+  ];
+}
+
+/** Leaders end one after the other while some machines can't be asked. */
+function leaderSeries(random: SeededRandom, { leaseMs }: ScheduleOptions): ScheduledFault[] {
+  const share = random.between(0.4, 0.9);
+  const times = random.int(2, 4);
+  const downMs = random.pick([50, 500, 3000]);
+  const forMs = random.between(0.6, 0.95) * leaseMs;
+  return [
+    { atMs: OPENING_MS, fault: { kind: 'hang-machines', share, forMs } },
+    {
+      atMs: OPENING_MS + 200,
+      fault: { kind: 'kill-leader', times, everyMs: random.between(1500, 3000), downMs },
+    },
+  ];
+}
+
 /** Faults that harm only when one follows the other at the right time: chance alone seldom brings them together. */
-function drawMeeting(random: SeededRandom, atMs: number, { leaseMs }: ScheduleOptions): ScheduledFault[] {
+function drawMeeting(random: SeededRandom, atMs: number, options: ScheduleOptions): ScheduledFault[] {
+  const { leaseMs } = options;
   const share = random.between(0.3, 0.9);
-  const nearLeaseEnd = atMs + leaseMs * random.between(0.75, 0.85);
   const meetings: ScheduledFault[][] = [
-    // Starts for sessions that end while they are on their way.
-    [
-      { atMs, fault: { kind: 'mute-machines', share: 1, forMs: leaseMs + 50 } },
-      { atMs: nearLeaseEnd, fault: { kind: 'late-starts', byMs: random.between(1900, 2300), forMs: 2500 } },
-    ],
+    sessionsEnd(random, atMs, options),
     [
       { atMs, fault: { kind: 'hang-machines', share, forMs: 0.9 * leaseMs } },
       { atMs: atMs + 300, fault: { kind: 'kill-leader', times: 2, everyMs: 1500, downMs: 500 } },
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -4,7 +4,9 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { LinkMode } from './fault-schedule.js';
+import { GANG_PEER_MS, GANG_WAIT_MS } from '../sim/gang-coordinator.js';
 import { LoopbackStandIns, freePort } from '../sim/loopback.js';
+import { type ControllerAddresses, settingsFile } from '../sim/platform-settings.js';
 import { PeerRelay } from './peer-relay.js';
 
 export interface SoakSize {
@@ -21,13 +23,9 @@
 export const NAMES = ['n0', 'n1', 'n2'];
 const ZONES = ['a', 'b', 'a'];
 const LEADER_LEASE_MS = 1500;
-const LEASE_AFTER_REPORTS = { gangWaitS: 6, gangPeerS: 2 };
+const GUARANTEED_CPUS = 8;
 
-interface Controller {
-  name: string;
-  zone: string;
-  address: string;
-  peerAddress: string;
+interface Controller extends ControllerAddresses {
   process: ChildProcess | null;
 }
 
@@ -95,46 +93,24 @@
   }
 
   private settingsOf(controller: Controller): string {
-    const { name, zone, address, peerAddress } = controller;
     const { reportS, leaseS, cancelS, teamLimit } = this.size;
-    const others = this.controllers
-      .filter((other) => other !== controller)
-      .map((other) => {
-        const relay = this.relayAddresses.get(`${name}>${other.name}`) ?? other.peerAddress;
-        return `[[others]]\nnode_name = "${other.name}"\nlocation = "${other.zone}"\npeer_addr = "${relay}"`;
-      });
-    const teams = TEAMS.map(
-      (team) =>
-        `[[params.teams]]\nname = "${team}"\ncpus = 8\ncpus_max = ${teamLimit}\ngpus = 0\ngpus_max = 0`,
-    );
-    return `node_name = "${name}"
-location = "${zone}"
-listen = "${address}"
-peer_bind = "${peerAddress}"
-${others.join('\n')}
-[outside]
-state = "${this.standIns.stateAddressOf(name)}"
-cloud = "${this.standIns.cloudAddressOf(name)}"
-[params]
-nodes = ${NAMES.length}
-${teams.join('\n')}
-[params.workers]
-report_s = ${reportS}
-lease_s = ${leaseS}
-cancel_s = ${cancelS}
-gang_wait_s = ${LEASE_AFTER_REPORTS.gangWaitS}
-gang_peer_s = ${LEASE_AFTER_REPORTS.gangPeerS}
-[params.state]
-rps = 400
-write_rps = 100
-value_kb = 4
-txn_ops = 12
-[params.cloud]
-rps = 20
-list_lag_s = 2
-[params.machine_limits]
-sockets = 1000
-`;
+    const viaRelay = (other: Controller): ControllerAddresses => {
+      const relay = this.relayAddresses.get(`${controller.name}>${other.name}`);
+      return { ...other, peerAddress: relay ?? other.peerAddress };
+    };
+    return settingsFile({
+      self: controller,
+      others: this.controllers.filter((other) => other !== controller).map(viaRelay),
+      stateAddress: this.standIns.stateAddressOf(controller.name),
+      cloudAddress: this.standIns.cloudAddressOf(controller.name),
+      teams: TEAMS.map((name) => ({ name, cpus: GUARANTEED_CPUS, cpusMax: teamLimit })),
+      reportS,
+      leaseS,
+      cancelS,
+      gangWaitS: GANG_WAIT_MS / 1000,
+      gangPeerS: GANG_PEER_MS / 1000,
+      listLagS: 2,
+    });
   }
 
   private logOf({ name }: Controller): string {
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -18,6 +18,8 @@
   machines: number;
   jobs: number;
   starts: number;
+  /** How often a controller began to serve as the leader. */
+  terms: number;
   /** The highest use that any team had, as a share of its limit. */
   peakShare: number;
   broken: string[];
@@ -34,7 +36,7 @@
 const LARGE_EVERY = 10;
 /** Until the controllers serve. */
 const BEGIN_MS = 3000;
-const FAULTS_MS = 16_000;
+const FAULTS_MS = 24_000;
 /** Faults last, and machines boot, for some seconds longer. */
 const CALM_MS = 9000;
 /** No run waits for longer for its jobs to end. */
@@ -43,6 +45,8 @@
 /** Recorded times are taken within one step of the stand-ins' clock. */
 const STEP_MARGIN_MS = 50;
 const HISTORY_LINES = 400;
+/** In the log line of a controller that begins to serve as the leader. */
+const TERM_BEGAN = '"to":"serving"';
 
 export function sizeOf(seed: number): SoakSize {
   return seed % LARGE_EVERY === 0 ? LARGE : SMALL;
@@ -180,6 +184,7 @@
       if (open().length === 0 && rules.on.size === 0) return;
       await delay(200);
     }
+    if (rules.broken.length > 0) return;
     for (const id of open()) rules.break('not_over', id);
     for (const task of rules.on.keys()) rules.break('left_over', task);
   }
@@ -195,6 +200,7 @@
       machines: 4 * this.size.machinesPerPool,
       jobs: rules.jobs.size,
       starts: rules.starts,
+      terms: logs.reduce((count, { text }) => count + text.split(TERM_BEGAN).length - 1, 0),
       peakShare: this.peakShare,
       broken: rules.broken,
       schedule,
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -66,11 +66,11 @@
 }
 
 function print(result: SoakResult): void {
-  const { seed, machines, jobs, starts, peakShare, broken } = result;
+  const { seed, machines, jobs, starts, terms, peakShare, broken } = result;
   const outcome = broken.length === 0 ? 'ok' : 'BROKEN';
   const peak = Math.round(100 * peakShare);
   console.log(
-    `seed ${seed}: ${outcome}, ${machines} machines, ${jobs} jobs, ${starts} starts, highest use ${peak} %`,
+    `seed ${seed}: ${outcome}, ${machines} machines, ${jobs} jobs, ${starts} starts, ${terms} leader terms, highest use ${peak} %`,
   );
   if (broken.length > 0) printFailure(result);
 }
