A team's limit is kept with its account; comments of the sums corrected

Behaviour unchanged. Measured: the tests of teams, quota, placement, gangs and takeovers pass (50); lint of src/placement is clean.

--- a/src/placement/quota.ts
+++ b/src/placement/quota.ts
@@ -17,7 +17,7 @@
   /** The most that tasks may use that no report has shown yet. */
   unseen: Resources;
   limit: Resources;
-  /** The highest share of the limit that was in use since the last `takePeaks`. */
+  /** The highest share of the limit that was in use since the last `resetPeaks`. */
   peakShare: number;
 }
 
@@ -32,6 +32,7 @@
 
 interface Account {
   readonly team: Team;
+  readonly limit: Resources;
   used: Resources;
   unseen: Resources;
   peakShare: number;
@@ -48,10 +49,6 @@
   return exceeds(a, b) || exceeds(b, a);
 }
 
-function limitOf(team: Team): Resources {
-  return { cpus: team.cpusMax, gpus: team.gpusMax };
-}
-
 function shareOf(used: Resources, limit: Resources): number {
   const cpus = limit.cpus < Infinity ? used.cpus / limit.cpus : 0;
   const gpus = limit.gpus < Infinity ? used.gpus / limit.gpus : 0;
@@ -66,6 +63,7 @@
     for (const team of teams)
       this.accounts.set(team.name, {
         team,
+        limit: { cpus: team.cpusMax, gpus: team.gpusMax },
         used: NO_RESOURCES,
         unseen: NO_RESOURCES,
         peakShare: 0,
@@ -78,7 +76,7 @@
     const account = this.accounts.get(spec.team);
     if (!account) return;
     account.used = plus(account.used, spec);
-    account.peakShare = Math.max(account.peakShare, shareOf(account.used, limitOf(account.team)));
+    account.peakShare = Math.max(account.peakShare, shareOf(account.used, account.limit));
   }
 
   /** An attempt is surely on no machine any more. */
@@ -99,7 +97,7 @@
   mayStart({ spec, tasks, headroomCpus }: StartRequest): boolean {
     const account = this.accounts.get(spec.team);
     if (!account || account.suspended) return false;
-    return !exceeds(this.with(account, spec, tasks, headroomCpus), limitOf(account.team));
+    return !exceeds(this.with(account, spec, tasks, headroomCpus), account.limit);
   }
 
   /** Would it fit under the limit if `leaving` had gone? */
@@ -107,7 +105,7 @@
     const account = this.accounts.get(spec.team);
     if (!account) return false;
     const left = plus(this.with(account, spec, tasks, headroomCpus), times(leaving, -1));
-    return !exceeds(left, limitOf(account.team));
+    return !exceeds(left, account.limit);
   }
 
   private with(account: Account, spec: JobSpec, tasks: number, headroomCpus: number): Resources {
@@ -128,23 +126,22 @@
   standing(name: string): TeamStanding | undefined {
     const account = this.accounts.get(name);
     if (!account) return undefined;
-    const { team, used, unseen, peakShare } = account;
-    return { team: team.name, used, unseen, limit: limitOf(team), peakShare };
+    const { team, used, unseen, limit, peakShare } = account;
+    return { team: team.name, used, unseen, limit, peakShare };
   }
 
   standings(): TeamStanding[] {
     return [...this.accounts.keys()].flatMap((name) => this.standing(name) ?? []);
   }
 
-  /** The highest share that any team used since the last call begins anew for each. */
+  /** The highest shares are counted anew, from what is in use now. */
   resetPeaks(): void {
-    for (const account of this.accounts.values())
-      account.peakShare = shareOf(account.used, limitOf(account.team));
+    for (const account of this.accounts.values()) account.peakShare = shareOf(account.used, account.limit);
   }
 
   isOverLimit(name: string, amount: Resources): boolean {
     const account = this.accounts.get(name);
-    return account !== undefined && exceeds(amount, limitOf(account.team));
+    return account !== undefined && exceeds(amount, account.limit);
   }
 
   isSuspended(name: string): boolean {
