Show the late lease request with a zone that is cut off (ran_twice)

The fault is the same: a grant that repeats the send time of an earlier process lets the new one extend worker leases too long.

--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -2,23 +2,28 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { type Deployment, arrayJob } from '../lib/deployment.js';
 import { runCase } from '../lib/run-case.js';
+import { ANKETSIS_PAZAR } from '../lib/settings.js';
 import { submit, until } from '../lib/users.js';
 
 const LEADER = 'millstone-0';
 /** The only controller in zone b. */
 const RESTARTED = 'millstone-1';
-const JOBS = 12;
+const JOBS = 20;
 /** Time for which the restarted controller's first process runs. */
-const UP_MS = 40_000;
-/** "back about 4 s after an end" */
-const RESTART_MS = 4000;
+const UP_MS = 20_000;
+/** "back about 5 s after an end" */
+const RESTART_MS = 5000;
 const HELD_MS = 1500;
-const CUT_MS = 40_000;
+const CUT_MS = 55_000;
 
 async function startJobs(deployment: Deployment): Promise<void> {
   for (let i = 1; i <= JOBS; i++)
-    await submit(deployment, LEADER, arrayJob(i, { durationS: 200, image: `img-${i % 2}` }));
-  await until('all tasks run', 20_000, () => deployment.zonesOfTasks().size === 2 * JOBS);
+    await submit(
+      deployment,
+      LEADER,
+      arrayJob(i, { tasks: 1, cpus: 8, durationS: 200, image: `img-${i}`, imageGb: 0.1 }),
+    );
+  await until('all tasks run', 20_000, () => deployment.zonesOfTasks().size === JOBS);
   const zones = [...deployment.zonesOfTasks().values()];
   if (!zones.includes('b')) throw new Error('no task runs in zone b');
 }
@@ -44,9 +49,15 @@
   await until('up time', UP_MS, () => deployment.upMs(RESTARTED) >= UP_MS);
   if (trouble) {
     await restart(deployment);
-    deployment.cutZones(CUT_MS);
+    deployment.cutOffZone('b', CUT_MS);
   }
   await delay(CUT_MS + 3000);
 }
 
-runCase({ rule: 'ran_twice', recordPath: 'review/1/record.txt', machinesPerZone: 5, play });
+runCase({
+  rule: 'ran_twice',
+  recordPath: 'review/1/record.txt',
+  machinesPerZone: 10,
+  site: ANKETSIS_PAZAR,
+  play,
+});
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -11,14 +11,7 @@
 import { type JobSubmission } from '../../test/sim/wire/users.js';
 import { PeerLink } from './peer-link.js';
 import { Recorder } from './recorder.js';
-import {
-  CANCEL_S,
-  type ControllerPlace,
-  LEASE_S,
-  REPORT_S,
-  TEAM_CPUS_MAX,
-  settingsText,
-} from './settings.js';
+import { type ControllerPlace, type Site, settingsText } from './settings.js';
 
 export const TEAMS = ['ops-dukaan-00', 'ops-dukaan-01'];
 /** Names and zones of the controllers; the stand-ins have machines in these two zones. */
@@ -50,10 +43,11 @@
     readonly controllers: Controller[],
     readonly services: LoopbackServices,
     readonly recorder: Recorder,
+    private readonly site: Site,
   ) {}
 
   /** Starts the stand-ins, with `machinesPerZone` ordinary machines that are up in each zone. */
-  static async open(recordPath: string, machinesPerZone: number): Promise<Deployment> {
+  static async open(recordPath: string, machinesPerZone: number, site: Site): Promise<Deployment> {
     const controllers: Controller[] = [];
     for (const place of PLACES)
       controllers.push({
@@ -67,14 +61,14 @@
       seed: 1,
       controllers,
       machinesPerPool: machinesPerZone,
-      reportMs: REPORT_S * 1000,
-      leaseMs: LEASE_S * 1000,
-      cancelMs: CANCEL_S * 1000,
-      limits: new Map(TEAMS.map((team) => [team, TEAM_CPUS_MAX])),
+      reportMs: site.reportS * 1000,
+      leaseMs: site.leaseS * 1000,
+      cancelMs: site.cancelS * 1000,
+      limits: new Map(TEAMS.map((team) => [team, site.cpusMax])),
       throughNetwork: true,
     });
     const recorder = new Recorder(recordPath, services, controllers);
-    const deployment = new Deployment(controllers, services, recorder);
+    const deployment = new Deployment(controllers, services, recorder, site);
     await services.start();
     for (const zone of ZONES)
       for (let i = 0; i < machinesPerZone; i++) services.cloud.add('t16', zone, false, true);
@@ -122,6 +116,7 @@
         cloudAddress: this.services.cloudAddressOf(name),
         zones: ZONES,
         teams: TEAMS,
+        site: this.site,
       }),
     );
     const [program, ...args] = runCommand();
@@ -150,23 +145,21 @@
     return performance.now() - this.controller(name).startedAt;
   }
 
-  /** Cuts the zones from each other for `forMs`: machines, workers' reports and controllers. State and cloud stay. */
-  cutZones(forMs: number): void {
+  /** Cuts a zone off from everything for `forMs`: its machines and controllers, also from state service and cloud. */
+  cutOffZone(zone: string, forMs: number): void {
     const { network, clock } = this.services;
-    const zoneOf = (host: string): string | null => this.zoneOf(host);
-    const until = clock.time + forMs;
     network.partitions.push({
-      a: (host) => zoneOf(host) === 'a',
-      b: (host) => zoneOf(host) === 'b',
-      until,
+      a: (host) => this.zoneOf(host) === zone,
+      b: (host) => this.zoneOf(host) !== zone,
+      until: clock.time + forMs,
       mode: 'reset',
     });
     this.setPeersCut(true);
     setTimeout(() => {
-      this.recorder.note('the zones reach each other again');
+      this.recorder.note(`zone ${zone} is reached again`);
       this.setPeersCut(false);
     }, forMs);
-    this.recorder.note(`the zones are cut from each other for ${forMs} ms`);
+    this.recorder.note(`zone ${zone} is cut off from everything for ${forMs} ms`);
   }
 
   private setPeersCut(isCut: boolean): void {
--- a/review/lib/run-case.ts
+++ b/review/lib/run-case.ts
@@ -1,6 +1,7 @@
 /** Runs a case: exit code 1 if its rule was broken, 0 if it held, 2 if the case couldn't run. */
 import process from 'node:process';
 import { Deployment } from './deployment.js';
+import type { Site } from './settings.js';
 import { until } from './users.js';
 
 const START_TIMEOUT_MS = 15_000;
@@ -9,6 +10,7 @@
   rule: string;
   recordPath: string;
   machinesPerZone: number;
+  site: Site;
   /** Plays the case; `trouble` is false if the disruption is left out. */
   play: (deployment: Deployment, trouble: boolean) => Promise<void>;
 }
@@ -23,9 +25,15 @@
     await until(`${name} healthy`, START_TIMEOUT_MS, () => deployment.isHealthy(name));
 }
 
-async function run({ rule, recordPath, machinesPerZone, play }: CaseOptions): Promise<number> {
+async function run({
+  rule,
+  recordPath,
+  machinesPerZone,
+  site,
+  play,
+}: CaseOptions): Promise<number> {
   const trouble = process.env.TROUBLE !== '0';
-  const deployment = await Deployment.open(recordPath, machinesPerZone);
+  const deployment = await Deployment.open(recordPath, machinesPerZone, site);
   const { recorder, services } = deployment;
   recorder.note(trouble ? 'with the disruption' : 'without the disruption');
   let code = 2;
