--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -4,7 +4,7 @@
 import { type JobSubmission, cancelRequest } from '../../test/sim/wire/users.js';
 import { type Deployment, TEAMS, arrayJob } from '../lib/deployment.js';
 import { runCase } from '../lib/run-case.js';
-import { CANCEL_S } from '../lib/settings.js';
+import { SHIFA_COLLECT } from '../lib/settings.js';
 import { ask, submit, until } from '../lib/users.js';
 
 const LEADER = 'millstone-0';
@@ -54,7 +54,10 @@
   const short = { durationS: 1.5, imageGb: 0.1 };
   const one = arrayJob(4, { ...short, tasks: 8, cpus: 9 });
   const other = arrayJob(5, { ...short, tasks: 16, cpus: 3, team: TEAMS[1] });
-  await Promise.all([submit(deployment, LEADER, one), submit(deployment, LEADER, other)]);
+  await submit(deployment, LEADER, one);
+  // The tasks of the first array take their machines before the second array comes.
+  await delay(300);
+  await submit(deployment, LEADER, other);
 }
 
 async function play(deployment: Deployment, trouble: boolean): Promise<void> {
@@ -71,9 +74,15 @@
   const observed = deployment.services.invariants.jobs.get(gang.id);
   if (observed) observed.cancelRequested = true;
   await ask(deployment, 'millstone-1', gang.id, cancelRequest(gang.id));
-  await delay((CANCEL_S + 3) * 1000);
+  await delay((SHIFA_COLLECT.cancelS + 3) * 1000);
   for (const machine of placesOf(deployment, gang.id))
     recorder.note(`a task of ${gang.id} is still on ${machine}`);
 }
 
-runCase({ rule: 'ran_cancelled', recordPath: 'review/2/record.txt', machinesPerZone: 4, play });
+runCase({
+  rule: 'ran_cancelled',
+  recordPath: 'review/2/record.txt',
+  machinesPerZone: 4,
+  site: SHIFA_COLLECT,
+  play,
+});
