--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -194,6 +194,11 @@
     }
   }
 
+  /** Ends all processes at once, when the case itself is ended. */
+  endProcesses(): void {
+    for (const { process: child } of this.controllers) child?.kill('SIGKILL');
+  }
+
   /** Ends all processes, and writes their logs and what was seen into the record. */
   async stop(): Promise<void> {
     for (const { process: child } of this.controllers) if (child) await killAndWait(child);
--- a/review/lib/run-case.ts
+++ b/review/lib/run-case.ts
@@ -5,6 +5,8 @@
 import { until } from './users.js';
 
 const START_TIMEOUT_MS = 15_000;
+/** A case runs for 120 s at most. */
+const CASE_TIMEOUT_MS = 114_000;
 
 export interface CaseOptions {
   rule: string;
@@ -25,6 +27,17 @@
     await until(`${name} healthy`, START_TIMEOUT_MS, () => deployment.isHealthy(name));
 }
 
+/** Makes the case end with exit code 2, and its processes with it, when it is ended from outside or takes too long. */
+function endWith(deployment: Deployment): void {
+  const end = (): void => {
+    deployment.endProcesses();
+    process.exit(2);
+  };
+  process.once('SIGTERM', end);
+  process.once('SIGINT', end);
+  setTimeout(end, CASE_TIMEOUT_MS).unref();
+}
+
 async function run({
   rule,
   recordPath,
@@ -35,6 +48,7 @@
   const trouble = process.env.TROUBLE !== '0';
   const deployment = await Deployment.open(recordPath, machinesPerZone, site);
   const { recorder, services } = deployment;
+  endWith(deployment);
   recorder.note(trouble ? 'with the disruption' : 'without the disruption');
   let code = 2;
   try {
