--- a/src/controller-process.ts
+++ b/src/controller-process.ts
@@ -14,8 +14,7 @@
   const { platform } = settings;
   const log = createLog(process.env.LOG_LEVEL ?? DEFAULT_LOG_LEVEL, platform.node);
   const runtime = createProcessRuntime(platform, log);
-  const peerAddresses = platform.peers.map((peer) => peer.address);
-  const peers = new PeerNetwork(runtime, platform.peerBindAddress, peerAddresses);
+  const peers = new PeerNetwork(runtime, platform.peerBindAddress, platform.peers);
   const node = createNode(settings, runtime, peers);
   listen(node, settings, log, onListenError);
   peers.run();
@@ -32,9 +31,7 @@
     settings: platform,
     operator,
     wallMs: () => Date.now(),
-    broadcast: (message) => {
-      peers.broadcast(message);
-    },
+    peers,
   });
   peers.messages.subscribe((message) => {
     node.handlePeerMessage(message);
--- a/src/leadership/leader-term.ts
+++ b/src/leadership/leader-term.ts
@@ -126,9 +126,12 @@
     return this.components.heartbeats.handle(heartbeat);
   }
 
-  /** Handles a follower's request to extend worker leases. Returns null if this node does not lead. */
-  handleLeaseExtensionRequest(peer: string): LeaseExtensionResponse | null {
-    return this.components.leaseExtensions.handleRequest(peer);
+  /** See `LeaseExtensionHandler`. */
+  handleLeaseExtensionRequest(
+    peer: string,
+    isFromPresentProcess: boolean,
+  ): LeaseExtensionResponse | null {
+    return this.components.leaseExtensions.handleRequest(peer, isFromPresentProcess);
   }
 
   /** See `LeaseExtensionHandler`. */
--- a/src/leadership/lease-extension-handler.ts
+++ b/src/leadership/lease-extension-handler.ts
@@ -25,12 +25,15 @@
 export class LeaseExtensionHandler {
   constructor(private readonly deps: LeaseExtensionHandlerDependencies) {}
 
-  /** Handles a follower's request to extend leases. Returns null if this node does not lead. */
-  handleRequest(peer: string): LeaseExtensionResponse | null {
+  /**
+   * Handles a follower's request to extend leases. `isFromPresentProcess`: whether the follower's present process is
+   * known to have sent it; if not, it is refused. Returns null if this node does not lead.
+   */
+  handleRequest(peer: string, isFromPresentProcess: boolean): LeaseExtensionResponse | null {
     const { clock, lifecycle, leaseMonitor, grants } = this.deps;
     if (!lifecycle.isLeader()) return null;
     const now = clock.now();
-    const mayExtend = leaseMonitor.mayFollowersExtend(now);
+    const mayExtend = isFromPresentProcess && leaseMonitor.mayFollowersExtend(now);
     grants.recordRequest(peer, mayExtend, now);
     return { epoch: lifecycle.epoch, mayExtend };
   }
--- a/src/leadership/lease-extension.ts
+++ b/src/leadership/lease-extension.ts
@@ -7,8 +7,13 @@
  *
  * This is safe because every grant is limited by the follower's own clock, counted from the time of the request; the
  * leader, and any later leader, adds that time before it considers a worker's lease expired.
+ *
+ * The clock of a process begins anew, so the time of a request means nothing to a later process of the same follower.
+ * Both sides make sure of the process: the leader grants only what the process at the other end of its connection
+ * requested (see `Attestations.sendTimeSince`), and the follower accepts only responses to its own requests. Each of
+ * them suffices, so that it holds beside a build that does not.
  */
-import { MAX_CLOCK_DRIFT } from '../runtime.js';
+import { type Log, MAX_CLOCK_DRIFT } from '../runtime.js';
 import { epochOfToken } from './leader-record.js';
 
 /** A peer without contact for longer than this counts as unreachable: the leader for a follower, and vice versa. */
@@ -36,19 +41,41 @@
   mayExtend: boolean;
 }
 
-/** The follower's side: the grant that this node holds. */
+/** The follower's side: the grant that this process holds. */
 export class LeaseExtender {
   private grant: { epoch: number; until: number } | null = null;
   private lastContactAt = -Infinity;
+  /** Send times of this process's requests, oldest first, as long as a grant for them could still be valid. */
+  private readonly requestTimes = new Set<number>();
+  private isExtending = false;
+
+  constructor(
+    private readonly extensionMs: number,
+    private readonly log: Log,
+  ) {}
 
-  constructor(private readonly extensionMs: number) {}
+  /** Records that this process sends a request now, by its own clock. */
+  recordRequest(now: number): void {
+    for (const requestedAt of this.requestTimes) {
+      if (now - requestedAt <= this.extensionMs) break;
+      this.requestTimes.delete(requestedAt);
+    }
+    this.requestTimes.add(now);
+  }
 
-  /** Records the leader's response. `requestedAt`: time at which this node sent the request, by its own clock. */
+  /**
+   * Records the leader's response to the request that this process sent at `requestedAt`. A response to any other
+   * request has no effect: a former process of this controller sent it, by a clock of its own.
+   */
   recordResponse(
     { epoch, mayExtend }: LeaseExtensionResponse,
     requestedAt: number,
     now: number,
   ): void {
+    if (!this.requestTimes.has(requestedAt)) {
+      this.log.info({ epoch, requestedAt, now }, 'ignoring a response to an unknown request');
+      return;
+    }
     this.lastContactAt = Math.max(this.lastContactAt, now);
     if (!mayExtend) return;
     const until = requestedAt + this.extensionMs / MAX_CLOCK_DRIFT;
@@ -64,9 +91,23 @@
    */
   mayRenew(workerToken: number, now: number): boolean {
     const { grant } = this;
-    if (!grant || now >= grant.until) return false;
-    if (now - this.lastContactAt < CONTACT_TIMEOUT_MS) return false;
-    return epochOfToken(workerToken) === grant.epoch;
+    if (!grant) return false;
+    const mayExtend = now < grant.until && now - this.lastContactAt >= CONTACT_TIMEOUT_MS;
+    this.logChange(mayExtend, grant, now);
+    return mayExtend && epochOfToken(workerToken) === grant.epoch;
+  }
+
+  private logChange(
+    isExtending: boolean,
+    { epoch, until }: { epoch: number; until: number },
+    now: number,
+  ): void {
+    if (isExtending === this.isExtending) return;
+    this.isExtending = isExtending;
+    this.log.info(
+      { extending: isExtending, epoch, grantLeftMs: Math.round(until - now) },
+      'lease extension',
+    );
   }
 }
 
--- a/src/node.ts
+++ b/src/node.ts
@@ -18,6 +18,7 @@
 import { Attestations } from './peers/attestations.js';
 import { PeerMessageHandler } from './peers/peer-message-handler.js';
 import type { PeerMessage } from './peers/peer-messages.js';
+import type { PeerSender } from './peers/peer-network.js';
 import { StatusBroadcasts } from './peers/status-broadcasts.js';
 import { ControllerRollout } from './rollout/controller-rollout.js';
 import { type Clock, type Runtime, sleep } from './runtime.js';
@@ -39,8 +40,8 @@
   cancellations: Cancellations;
   attestations: Attestations;
   leaseExtender: LeaseExtender;
+  peers: PeerSender;
   term(): LeaderTerm | null;
-  broadcast(message: PeerMessage): void;
 }
 
 /** The external dependencies of a node. */
@@ -50,8 +51,7 @@
   operator: OperatorSettings;
   /** Returns the wall-clock time in milliseconds since the Unix epoch. */
   wallMs(): number;
-  /** Sends a message to all other controllers. */
-  broadcast(message: PeerMessage): void;
+  peers: PeerSender;
   /** The build that this process declares; defaults to `BUILD`. Tests set another one. */
   build?: Build;
 }
@@ -84,7 +84,10 @@
     this.cancellations = this.createCancellations();
     this.attestations = this.createAttestations(processId);
     this.jobCache = this.createJobCache();
-    this.leaseExtender = new LeaseExtender(leaseExtensionMs(settings.cancelS, settings.leaseS));
+    this.leaseExtender = new LeaseExtender(
+      leaseExtensionMs(settings.cancelS, settings.leaseS),
+      runtime.log,
+    );
     const cloud = new Cloud(runtime, settings.cloudAddress, settings.cloudCallsPerS);
     this.machineTypes = new MachineTypeCatalog(runtime, this.store, cloud);
     this.rollout = this.createRollout(processId);
@@ -147,7 +150,7 @@
     this.attestations.recordConfirmation(id);
     if (this.cancellations.has(id)) return;
     this.cancellations.record(id);
-    this.deps.broadcast({ t: 'cancelled', from: this.deps.settings.node, id });
+    this.deps.peers.broadcast({ t: 'cancelled', from: this.deps.settings.node, id });
   }
 
   private recordProgress(jobs: [string, Progress][]): void {
@@ -197,7 +200,7 @@
       process: processId,
       wallMs: () => this.deps.wallMs(),
       broadcast: (message) => {
-        this.deps.broadcast(message);
+        this.deps.peers.broadcast(message);
       },
       onExcluded: () => void this.leadership.resign('the stored state cannot be read'),
     });
@@ -288,10 +291,8 @@
       cancellations: this.cancellations,
       attestations: this.attestations,
       leaseExtender: this.leaseExtender,
+      peers: this.deps.peers,
       term: () => this.terms.currentTerm(),
-      broadcast: (message) => {
-        this.deps.broadcast(message);
-      },
     };
   }
 }
--- a/src/peers/attestations.ts
+++ b/src/peers/attestations.ts
@@ -21,6 +21,8 @@
 /** What a peer's attestations cover. All times are of this controller's clock. */
 interface Coverage {
   processId: string;
+  /** Send time of the latest of them by the peer's clock. */
+  sentAt: number;
   /** All cancellations that the peer confirmed between `from` and `to` are known here. */
   from: number;
   to: number;
@@ -107,6 +109,16 @@
     return echo && echo.life === this.processId ? echo.at : null;
   }
 
+  /**
+   * Returns the send time, by the peer's clock, of an attestation that the peer made after `since`; null if none is
+   * known. If this process's present connection to the peer exists since then, the process at its other end made the
+   * attestation: only that process can have received what was sent over the connection.
+   */
+  sendTimeSince(peer: string, since: number): number | null {
+    const coverage = this.coverageByPeer.get(peer);
+    return coverage && coverage.to > since ? coverage.sentAt : null;
+  }
+
   /**
    * Returns the time until which all confirmed cancellations are known here, given that they are known until
    * `knownUntil`.
@@ -141,6 +153,7 @@
 function coverageOf(message: AttestationMessage, madeAfter: number, now: number): Coverage {
   return {
     processId: message.life,
+    sentAt: message.at,
     from: now - Math.min(message.upMs, CONFIRMATION_RETENTION_MS) / MAX_CLOCK_DRIFT,
     to: madeAfter,
     highestEpoch: message.claim,
@@ -153,6 +166,7 @@
   if (previous.processId !== current.processId || current.from > previous.to) return current;
   return {
     processId: current.processId,
+    sentAt: Math.max(previous.sentAt, current.sentAt),
     from: Math.min(previous.from, current.from),
     to: Math.max(previous.to, current.to),
     highestEpoch: Math.max(previous.highestEpoch, current.highestEpoch),
--- a/src/peers/peer-message-handler.ts
+++ b/src/peers/peer-message-handler.ts
@@ -13,6 +13,7 @@
   LeaseExtensionRequestMessage,
   PeerMessage,
 } from './peer-messages.js';
+import type { PeerSender } from './peer-network.js';
 
 /** The components of the controller that handle the contents of the messages. */
 export interface PeerMessageHandlerDependencies {
@@ -24,11 +25,11 @@
   attestations: Attestations;
   leaseExtender: LeaseExtender;
   rollout: Pick<ControllerRollout, 'recordBuild' | 'recordProcess'>;
+  peers: PeerSender;
   /** The term in which this controller leads, also while its leadership is suspended; null if it does not lead. */
   term(): LeaderTerm | null;
   /** Receives the leader's progress counts of live jobs. */
   recordProgress(jobs: [string, Progress][]): void;
-  broadcast(message: PeerMessage): void;
 }
 
 /** Handles messages, which may be late and may arrive in any order. */
@@ -63,10 +64,28 @@
 
   private handleLeaseExtensionRequest({ from, at }: LeaseExtensionRequestMessage): void {
     const { self } = this.deps;
-    const grant = this.deps.term()?.handleLeaseExtensionRequest(from);
+    const sentAt = this.sendTimeOfPresentProcess(from);
+    const grant = this.deps.term()?.handleLeaseExtensionRequest(from, sentAt !== null);
     if (!grant) return;
     const { epoch: revision, mayExtend: keep } = grant;
-    this.deps.broadcast({ t: 'grant', from: self, to: from, at, revision, keep });
+    this.deps.peers.broadcast({
+      t: 'grant',
+      from: self,
+      to: from,
+      at: sentAt ?? at,
+      revision,
+      keep,
+    });
+  }
+
+  /**
+   * Returns the time, by its own clock, at which the peer's present process sent its latest attestation; null if none is
+   * known. A grant counts from this time and not from that in the request, which a former process may have sent.
+   */
+  private sendTimeOfPresentProcess(peer: string): number | null {
+    const { attestations, peers } = this.deps;
+    const connectedSince = peers.connectedSince(peer);
+    return connectedSince === null ? null : attestations.sendTimeSince(peer, connectedSince);
   }
 
   private handleLeaseExtensionGrant(message: LeaseExtensionGrantMessage): void {
--- a/src/peers/peer-messages.ts
+++ b/src/peers/peer-messages.ts
@@ -16,7 +16,7 @@
 export interface LeaseExtensionRequestMessage {
   t: 'ask';
   from: string;
-  /** Send time by the sender's clock; the grant repeats it. */
+  /** Send time by the sender's clock, the same as that of the attestation sent just before. */
   at: number;
 }
 
@@ -33,7 +33,10 @@
   from: string;
   /** The follower that sent the request. */
   to: string;
-  /** `at` of the request. */
+  /**
+   * Send time, by the follower's clock, of a request that the follower's present process sent; in a refusal that of any
+   * request. Builds up to 3 December 2026 repeat the time of any request.
+   */
   at: number;
   /** Epoch of the leader's term. */
   revision: number;
--- a/src/peers/peer-network.ts
+++ b/src/peers/peer-network.ts
@@ -1,30 +1,44 @@
-/** Connections between the controllers: each keeps one connection to every other, to send its messages. */
-import { type Server, type Socket, connect, createServer } from 'node:net';
+/** Messages between the controllers: each keeps one connection to every other, to send its own. */
+import { type Server, type Socket, createServer } from 'node:net';
 import { type Observable, Subject } from 'rxjs';
 import type { Runtime } from '../runtime.js';
+import type { Peer } from '../settings/platform.js';
 import { FrameDecoder, encodeFrame } from './framing.js';
+import { PeerConnection } from './peer-connection.js';
 import type { PeerMessage } from './peer-messages.js';
 
-const RECONNECT_DELAY_MS = 1000;
 const INCOMING_IDLE_TIMEOUT_MS = 30_000;
-const OUTGOING_IDLE_TIMEOUT_MS = 5000;
-/** While a connection has at least this much unsent data, further messages to that peer are dropped. */
-const MAX_QUEUED_BYTES = 1024 * 1024;
 
-/** Sends messages to all other controllers and receives their messages. Messages may be lost. */
-export class PeerNetwork {
+/** Sends messages to the other controllers. Messages may be lost, and may arrive late. */
+export interface PeerSender {
+  /** Sends a message to all other controllers. */
+  broadcast(message: PeerMessage): void;
+  /**
+   * Returns the time, by this process's clock, since which all messages to the other controller were sent to its present
+   * process; null if it can't be reached.
+   */
+  connectedSince(peer: string): number | null;
+}
+
+/** Sends messages to all other controllers and receives their messages. */
+export class PeerNetwork implements PeerSender {
   private readonly incoming = new Subject<PeerMessage>();
   /** Messages received from the other controllers. */
   readonly messages: Observable<PeerMessage> = this.incoming.asObservable();
-  private readonly connections = new Map<string, Socket>();
+  /** The connection to each other controller, by its name. */
+  private readonly connections: Map<string, PeerConnection>;
   private server: Server | null = null;
 
-  /** `listenAddress` and `peerAddresses` have the form `host:port`. */
+  /** `listenAddress` has the form `host:port`. */
   constructor(
     private readonly runtime: Runtime,
     private readonly listenAddress: string,
-    private readonly peerAddresses: string[],
-  ) {}
+    peers: Pick<Peer, 'name' | 'address'>[],
+  ) {
+    this.connections = new Map(
+      peers.map(({ name, address }) => [name, new PeerConnection(runtime.clock, address)]),
+    );
+  }
 
   run(): void {
     const [host, port] = this.listenAddress.split(':');
@@ -35,7 +49,11 @@
       this.runtime.log.error({ err: error.message }, 'peer listener failed');
     });
     this.server.listen(Number(port), host);
-    for (const address of this.peerAddresses) this.dial(address);
+    for (const connection of this.connections.values()) connection.run();
+  }
+
+  connectedSince(peer: string): number | null {
+    return this.connections.get(peer)?.openSince() ?? null;
   }
 
   private receive(socket: Socket): void {
@@ -49,24 +67,8 @@
     });
   }
 
-  private dial(address: string): void {
-    const [host, port] = address.split(':');
-    const socket = connect({ host, port: Number(port) });
-    socket.setNoDelay(true);
-    socket.on('connect', () => this.connections.set(address, socket));
-    socket.on('error', () => socket.destroy());
-    socket.setTimeout(OUTGOING_IDLE_TIMEOUT_MS, () => socket.destroy());
-    socket.on('close', () => {
-      this.connections.delete(address);
-      this.runtime.clock.after(RECONNECT_DELAY_MS, () => {
-        this.dial(address);
-      });
-    });
-  }
-
   broadcast(message: PeerMessage): void {
     const bytes = encodeFrame(message);
-    for (const socket of this.connections.values())
-      if (socket.writableLength < MAX_QUEUED_BYTES) socket.write(bytes);
+    for (const connection of this.connections.values()) connection.send(bytes);
   }
 }
--- a/src/settings/platform.ts
+++ b/src/settings/platform.ts
@@ -27,7 +27,7 @@
 }
 
 /** Another controller. */
-interface Peer {
+export interface Peer {
   name: string;
   zone: string;
   address: string;
--- a/test/cloud.test.ts
+++ b/test/cloud.test.ts
@@ -37,7 +37,7 @@
   );
   for (let i = 0; i < MACHINES; i++) service.add('t16', 'a', false, true);
   const runtime: Runtime = {
-    clock: clock.hostClock(1, () => true),
+    clock: clock.processClock(1, () => true),
     http: {
       send: (_to, _method, path, body) =>
         new Promise((done) => {
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -166,6 +166,35 @@
     assertInvariantsHeld(outcome);
   });
 
+/** Restarts a random controller, whose last messages to another one arrive late. */
+function restartWithLateMessages(cluster: Cluster): void {
+  const { random, nodeNames } = cluster;
+  const name = random.pick(nodeNames);
+  const receiver = cluster.leader() ?? random.pick(nodeNames);
+  if (name === receiver) return;
+  cluster.faults.restartWithLateMessages(name, receiver, {
+    heldMs: random.between(500, 3000),
+    downMs: random.pick([150, 3000]),
+    lateMs: random.between(0, 10_000),
+  });
+}
+
+for (const seed of [111, 112, 113])
+  test(`controllers restart and their last messages arrive late, and zones are isolated: jobs are served and no invariant is violated (${seed})`, async () => {
+    const outcome = await runScenario({ seed, nodes: 5, ordinaryUp: 8 }, (cluster, second) => {
+      if (second % 7 === 2) restartWithLateMessages(cluster);
+      if (second !== 20 && second !== 45) return;
+      const inside = cluster.faults.isHostIn(cluster.random.pick(['a', 'b']));
+      cluster.network.partitions.push({
+        a: inside,
+        b: (host) => !inside(host),
+        until: cluster.clock.time + cluster.random.between(8000, 25_000),
+        mode: cluster.random.pick(['hold', 'reset']),
+      });
+    });
+    assertInvariantsHeld(outcome);
+  });
+
 /** Injects overlapping crashes, outages, rejections, partitions, hangs and preemptions. */
 function injectRandomFaults(cluster: Cluster, second: number): void {
   const random = cluster.random;
--- a/test/digest/traffic-digest.ts
+++ b/test/digest/traffic-digest.ts
@@ -27,7 +27,7 @@
         if (cluster.isNode(from)) this.add(['reply', from, to, path, status], body);
       },
     };
-    cluster.onPeerMessage((message) => {
+    cluster.peerLinks.onMessage((message) => {
       this.add(['peers', message.from], this.packr.pack(message));
     });
   }
@@ -41,7 +41,7 @@
   /** Returns the digest and stops observing the cluster: nothing can be added afterwards. */
   finish(): string {
     this.cluster.network.observer = null;
-    this.cluster.onPeerMessage(() => undefined);
+    this.cluster.peerLinks.onMessage(() => undefined);
     return this.hash.digest('hex').slice(0, HEX_DIGITS);
   }
 }
--- a/test/sim/client-runtime.ts
+++ b/test/sim/client-runtime.ts
@@ -13,7 +13,7 @@
   network: Network;
 }): Runtime {
   return {
-    clock: clock.hostClock(1, () => true),
+    clock: clock.processClock(1, () => true),
     http: {
       send: (to, method, path, body, timeoutMs) =>
         network.send('n9:80', to, method, path, body, timeoutMs),
--- a/test/sim/clock.ts
+++ b/test/sim/clock.ts
@@ -1,5 +1,13 @@
 /** Virtual time of simulated deployments. */
 import type { Clock } from '../../src/runtime.js';
+import { SeededRandom } from './random.js';
+
+/** The latest reading of a process's clock at its start. */
+const MAX_CLOCK_ORIGIN_MS = 300;
+/** A timer is never so short that the clock, which is rounded, shows the same time when it fires. */
+const MIN_TIMER_MS = 0.001;
+/** Origins have random numbers of their own, so that they leave those of the simulation as they are. */
+const ORIGINS_SEED = 1;
 
 interface TimedEvent {
   at: number;
@@ -13,6 +21,7 @@
 export class VirtualClock {
   private heap: TimedEvent[] = [];
   private order = 0;
+  private readonly origins = new SeededRandom(ORIGINS_SEED);
   /** Current time in milliseconds. */
   time = 0;
 
@@ -30,12 +39,17 @@
     };
   }
 
-  /** Returns the clock of one host, which runs slightly fast or slow: at `rate` times the virtual time. */
-  hostClock(rate: number, isAlive: () => boolean): Clock {
+  /**
+   * Returns the monotonic clock of a process that starts now. It runs slightly fast or slow, at `rate` times the virtual
+   * time, and begins anew with each process, whatever an earlier process of the same host has read from its clock.
+   */
+  processClock(rate: number, isAlive: () => boolean): Clock {
+    const startedAt = this.time;
+    const originMs = this.origins.between(0, MAX_CLOCK_ORIGIN_MS);
     return {
-      now: () => this.time * rate,
+      now: () => originMs + (this.time - startedAt) * rate,
       after: (ms, callback) =>
-        this.after(ms / rate, () => {
+        this.after(Math.max(ms, MIN_TIMER_MS) / rate, () => {
           if (isAlive()) callback();
         }),
     };
--- a/test/sim/cluster-faults.ts
+++ b/test/sim/cluster-faults.ts
@@ -14,6 +14,18 @@
   invariants: Invariants;
   users: Users;
   isNode: (host: string) => boolean;
+  /** Ends the node's process and starts a new one after `downMs`. */
+  crash: (name: string, downMs: number) => void;
+}
+
+/** A restart of a controller whose last messages are late, in milliseconds. */
+export interface RestartWithLateMessages {
+  /** Time before the end of the process in which its messages are held up. */
+  heldMs: number;
+  /** Time until the new process starts. */
+  downMs: number;
+  /** Time from the start of the new process until the messages of the earlier one arrive. */
+  lateMs: number;
 }
 
 /** Injects faults. Each fault begins at once and ends by itself after the given time. */
@@ -87,6 +99,30 @@
     });
   }
 
+  /**
+   * Restarts the controller; what it sent to the other one shortly before reaches that one only after the restart. The
+   * messages of the new process are not held up, since they have a connection of their own.
+   */
+  restartWithLateMessages(
+    name: string,
+    receiver: string,
+    { heldMs, downMs, lateMs }: RestartWithLateMessages,
+  ): void {
+    const { clock, network } = this.deps;
+    const endsAt = clock.time + heldMs;
+    network.partitions.push({
+      a: (host) => host === `${name}:80`,
+      b: (host) => host === `${receiver}:80`,
+      until: endsAt + downMs + lateMs,
+      mode: 'hold',
+      oneWay: true,
+      sentBefore: endsAt,
+    });
+    clock.after(heldMs, () => {
+      this.deps.crash(name, downMs);
+    });
+  }
+
   /** Returns a predicate for the hosts of machines in the zone. */
   isMachineHostIn(zone: string): (host: string) => boolean {
     return this.hostsOf((id) => this.deps.cloud.machines.get(id)?.zone === zone);
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -6,7 +6,6 @@
 import type { Log } from '../../src/runtime.js';
 import { defaultOperatorSettings } from '../../src/settings/operator.js';
 import type { PlatformSettings } from '../../src/settings/platform.js';
-import type { PeerMessage } from '../../src/peers/peer-messages.js';
 import { CloudService, type CloudMachine } from './cloud.js';
 import {
   type ClusterConfig,
@@ -20,7 +19,8 @@
 import { Network } from './network.js';
 import { serveNode } from './node-requests.js';
 import { nodeSettings } from './node-settings.js';
-import { type SimulatedProcess, simulatedRuntime } from './simulated-runtime.js';
+import { type PeerProcess, PeerLinks } from './peer-links.js';
+import { simulatedRuntime } from './simulated-runtime.js';
 import type { MachineCapacity } from './places.js';
 import { SeededRandom } from './random.js';
 import { Invariants } from './invariants.js';
@@ -30,10 +30,6 @@
 import { quietLog } from './quiet-log.js';
 import { responseToUngatedBuild } from './ungated-build.js';
 
-interface NodeProcess extends SimulatedProcess {
-  node: ControllerNode;
-}
-
 /**
  * Connects controllers to the simulated services, workers and users. All random choices derive from the seed in the
  * configuration. Time advances only in `run`.
@@ -48,8 +44,9 @@
   readonly gangs: GangCoordinator;
   readonly users: Users;
   readonly faults: ClusterFaults;
+  readonly peerLinks: PeerLinks;
   readonly nodeNames: string[];
-  private readonly processes = new Map<string, NodeProcess>();
+  private readonly processes = new Map<string, PeerProcess>();
   /** Whether the next machine to boot is faulty. */
   nextMachineFaulty = false;
   /** Factor by which everything takes longer on the next machine to boot. */
@@ -79,6 +76,7 @@
       config.cancelMs,
       new Map(TEAMS.map((team) => [team, config.teamLimit])),
     );
+    this.peerLinks = new PeerLinks(this);
     this.state = new StateService(this.clock, this.random, config.state ?? null);
     this.cloud = this.createCloud();
     this.users = new Users(this);
@@ -151,13 +149,6 @@
   /** Offset of a node's wall clock, in milliseconds. */
   readonly wallSkewMs = new Map<string, number>();
 
-  private peerMessageListener: (message: PeerMessage) => void = () => undefined;
-
-  /** Sets the listener that receives each message that a controller broadcasts to its peers. */
-  onPeerMessage(listener: (message: PeerMessage) => void): void {
-    this.peerMessageListener = listener;
-  }
-
   /** Returns a log that throws if a controller logs a violation of the team usage invariant, so that the run fails. */
   private logOf(name: string): Log {
     return {
@@ -171,24 +162,19 @@
   }
 
   startNode(name: string): void {
-    const process: Partial<NodeProcess> & SimulatedProcess = { alive: true, frozenUntil: 0 };
+    const process = { name, alive: true, frozenUntil: 0 };
+    const processClock = this.clock.processClock(
+      this.random.between(1, 1.0005),
+      () => process.alive,
+    );
     const runtime = simulatedRuntime(`${name}:80`, process, {
       clock: this.clock,
       network: this.network,
       random: this.random,
-      processClock: this.clock.hostClock(this.random.between(1, 1.0005), () => process.alive),
+      processClock,
       log: this.logOf(name),
       alterResponse: this.ungated.has(name) ? responseToUngatedBuild : undefined,
     });
-    const broadcast = (message: PeerMessage): void => {
-      this.peerMessageListener(message);
-      for (const [other, target] of this.processes)
-        if (other !== name)
-          this.network.sendOneWay(`${name}:80`, `${other}:80`, () => {
-            if (target.alive && target.frozenUntil <= this.clock.time)
-              target.node.handlePeerMessage(message);
-          });
-    };
     const operator = defaultOperatorSettings();
     const build = this.builds.get(name) ?? BUILD;
     this.runningBuilds.set(name, build);
@@ -205,11 +191,12 @@
           : { ...operator.rollout, ...this.config.rollout },
       },
       wallMs: () => 1e12 + this.clock.time + (this.wallSkewMs.get(name) ?? 0),
-      broadcast,
+      peers: this.peerLinks.sender(name),
       build,
     });
-    process.node = node;
-    this.processes.set(name, process as NodeProcess);
+    const started = Object.assign(process, { node, processClock });
+    this.processes.set(name, started);
+    this.peerLinks.connect(started);
     this.network.hosts.set(`${name}:80`, {
       handler: (method, path, body) => serveNode(node, method, path, body),
       hangsUntil: 0,
--- a/test/sim/duty-group.ts
+++ b/test/sim/duty-group.ts
@@ -103,7 +103,7 @@
       clock: this.clock,
       network: this.network,
       random: this.random,
-      processClock: this.clock.hostClock(rate, () => process.alive),
+      processClock: this.clock.processClock(rate, () => process.alive),
       log: { ...quietLog, info: recordLine, error: recordLine },
     });
   }
--- a/test/sim/network.ts
+++ b/test/sim/network.ts
@@ -30,6 +30,8 @@
   oneWay?: boolean;
   /** Blocks only requests from `a` to `b`: responses from `a` arrive, and so does everything from `b`. */
   requestsOnly?: boolean;
+  /** Blocks only messages sent before this virtual time, as when the connection that is held up gets replaced. */
+  sentBefore?: number;
 }
 
 function blocksForward(
@@ -116,6 +118,7 @@
     return this.partitions.find(
       (partition) =>
         partition.until > now &&
+        now < (partition.sentBefore ?? Infinity) &&
         (blocksForward(partition, from, to, isResponse) || blocksBackward(partition, from, to)),
     );
   }
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -63,7 +63,7 @@
 test('records and messages of this version have the fields of older versions', async () => {
   const cluster = new Cluster({ seed: 31, ordinaryUp: 20, capacity: 12 });
   const sent = new Map<string, unknown>();
-  cluster.onPeerMessage((m) => sent.set(m.t, m));
+  cluster.peerLinks.onMessage((m) => sent.set(m.t, m));
   await cluster.run(5);
   void cluster.users.run(cluster.users.newJob({ ...SERVICE, team: 't0' }), null);
   void cluster.users.run(
