Ignore late attestations of an earlier process of a controller

Found on the paths related to late lease requests. An attestation that an earlier process of a controller had sent, and that arrived late, took the place of those of the present one.

Change: an attestation that echoes an older time than the latest known one of that controller is late, whichever process sent it, and changes nothing but the cancellations that it tells of.

--- a/src/peers/attestations.ts
+++ b/src/peers/attestations.ts
@@ -86,17 +86,21 @@
     return fields;
   }
 
-  /** Evaluates an attestation of a peer, which may be late. The caller records the cancellations in it. */
-  recordAttestation(message: AttestationMessage): void {
+  /**
+   * Evaluates an attestation of a peer. The caller records the cancellations in it. Returns false, and changes nothing,
+   * if the attestation is late: a newer one was received before, perhaps of a newer process of the peer.
+   */
+  recordAttestation(message: AttestationMessage): boolean {
     const { from: peer, life: processId } = message;
-    if (!this.peers.includes(peer)) return;
-    this.lastReceived.set(peer, { processId, sentAt: message.at });
+    if (!this.peers.includes(peer)) return false;
     const madeAfter = this.echoedTime(message);
-    if (madeAfter === null) return;
     const previous = this.coverageByPeer.get(peer);
-    if (previous?.processId === processId && madeAfter < previous.to) return;
+    if (previous && madeAfter !== null && madeAfter < previous.to) return false;
+    this.lastReceived.set(peer, { processId, sentAt: message.at });
+    if (madeAfter === null) return true;
     const current = coverageOf(message, madeAfter, this.now());
     this.coverageByPeer.set(peer, previous ? mergeCoverage(previous, current) : current);
+    return true;
   }
 
   /**
--- a/src/peers/peer-message-handler.ts
+++ b/src/peers/peer-message-handler.ts
@@ -98,7 +98,7 @@
   private handleAttestation(message: AttestationMessage): void {
     const { cancellations, attestations, rollout } = this.deps;
     for (const id of message.cancelled) cancellations.record(id);
-    attestations.recordAttestation(message);
+    if (!attestations.recordAttestation(message)) return;
     rollout.recordProcess(message.from, message.life);
     cancellations.advanceWatermark(attestations.completeUntil(cancellations.watermark()));
   }
--- a/src/rollout/controller-rollout.ts
+++ b/src/rollout/controller-rollout.ts
@@ -136,8 +136,8 @@
   }
 
   /**
-   * Must be called when another controller has sent its process id in an attestation, which builds without feature
-   * levels also send.
+   * Must be called when another controller has sent its process id in an attestation that is not late. Builds without
+   * feature levels also send them.
    */
   recordProcess(controller: string, process: string): void {
     this.processes.set(controller, process);
@@ -145,8 +145,7 @@
 
   /** Must be called when another controller has reported its build. */
   recordBuild(message: Extract<PeerMessage, { t: 'build' }>): void {
-    const { from, process, version, reads, writes } = message;
-    this.recordProcess(from, process);
+    const { from, version, reads, writes } = message;
     const [lowest, highest] = reads;
     const build = listedBuildText({ version, reads: { from: lowest, to: highest }, writes });
     if (this.loggedBuilds.get(from) === build) return;
--- a/test/attestations.test.ts
+++ b/test/attestations.test.ts
@@ -176,3 +176,21 @@
   nodes.exchange();
   assert.equal(nodes.a.completeUntil(knownUntil), knownUntil);
 });
+
+// Guards against leases that are no longer renewed in an outage because a message of a former process arrives late.
+test('a late attestation of an earlier process does not replace those of the present one', () => {
+  const nodes = threeNodes();
+  nodes.advance(5000);
+  nodes.exchange();
+  const late = nodes.b.attest(7, false);
+  nodes.b = new Attestations('b', 'b-2', ['a', 'c'], () => nodes.clocks.b);
+  nodes.advance(300);
+  const knownUntil = nodes.clocks.a;
+  for (let i = 0; i < 10; i++) {
+    nodes.advance(9000);
+    nodes.exchange();
+  }
+  assert.equal(nodes.a.recordAttestation(late), false);
+  assert.equal(nodes.a.attest(7, false).heard.b.life, 'b-2');
+  assert.ok(nodes.a.completeUntil(knownUntil) > nodes.clocks.a - 100);
+});
