--- a/src/leadership/lease-extension.ts
+++ b/src/leadership/lease-extension.ts
@@ -41,9 +41,15 @@
   mayExtend: boolean;
 }
 
+/** A grant that a follower holds: it may extend leases of the epoch's workers until a time of its own clock. */
+interface HeldGrant {
+  epoch: number;
+  until: number;
+}
+
 /** The follower's side: the grant that this process holds. */
 export class LeaseExtender {
-  private grant: { epoch: number; until: number } | null = null;
+  private grant: HeldGrant | null = null;
   private lastContactAt = -Infinity;
   /** Send times of this process's requests, oldest first, as long as a grant for them could still be valid. */
   private readonly requestTimes = new Set<number>();
@@ -97,11 +103,7 @@
     return mayExtend && epochOfToken(workerToken) === grant.epoch;
   }
 
-  private logChange(
-    isExtending: boolean,
-    { epoch, until }: { epoch: number; until: number },
-    now: number,
-  ): void {
+  private logChange(isExtending: boolean, { epoch, until }: HeldGrant, now: number): void {
     if (isExtending === this.isExtending) return;
     this.isExtending = isExtending;
     this.log.info(
--- a/src/peers/peer-message-handler.ts
+++ b/src/peers/peer-message-handler.ts
@@ -64,8 +64,10 @@
 
   private handleLeaseExtensionRequest({ from, at }: LeaseExtensionRequestMessage): void {
     const { self } = this.deps;
+    const term = this.deps.term();
+    if (!term) return;
     const sentAt = this.sendTimeOfPresentProcess(from);
-    const grant = this.deps.term()?.handleLeaseExtensionRequest(from, sentAt !== null);
+    const grant = term.handleLeaseExtensionRequest(from, sentAt !== null);
     if (!grant) return;
     const { epoch: revision, mayExtend: keep } = grant;
     this.deps.peers.broadcast({
--- a/test/cluster.test.ts
+++ b/test/cluster.test.ts
@@ -184,13 +184,11 @@
     const outcome = await runScenario({ seed, nodes: 5, ordinaryUp: 8 }, (cluster, second) => {
       if (second % 7 === 2) restartWithLateMessages(cluster);
       if (second !== 20 && second !== 45) return;
-      const inside = cluster.faults.isHostIn(cluster.random.pick(['a', 'b']));
-      cluster.network.partitions.push({
-        a: inside,
-        b: (host) => !inside(host),
-        until: cluster.clock.time + cluster.random.between(8000, 25_000),
-        mode: cluster.random.pick(['hold', 'reset']),
-      });
+      cluster.faults.isolateZone(
+        cluster.random.pick(['a', 'b']),
+        cluster.random.between(8000, 25_000),
+        cluster.random.pick(['hold', 'reset']),
+      );
     });
     assertInvariantsHeld(outcome);
   });
--- a/test/digest/faults.ts
+++ b/test/digest/faults.ts
@@ -93,13 +93,11 @@
 
 /** Partitions the machines and controllers of a zone from all other hosts. */
 export function partitionZone(cluster: Cluster, zone: string): void {
-  const inside = cluster.faults.isHostIn(zone);
-  cluster.network.partitions.push({
-    a: inside,
-    b: (host) => !inside(host),
-    until: cluster.clock.time + cluster.random.between(6000, 14_000),
-    mode: cluster.random.pick(['hold', 'reset'] as const),
-  });
+  cluster.faults.isolateZone(
+    zone,
+    cluster.random.between(6000, 14_000),
+    cluster.random.pick(['hold', 'reset']),
+  );
 }
 
 /** Isolates the leader from the state service and its peers, and cancels jobs through another controller 4 s later. */
--- a/test/failover-faults.test.ts
+++ b/test/failover-faults.test.ts
@@ -1,21 +1,14 @@
 /** Failovers while a zone or some machines are unreachable: how long they take, and which tasks keep running. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { clusterWithService, holdMessagesTo } from './sim/faults.js';
+import { clusterWithService, ensureLeaderInZoneA, holdMessagesTo } from './sim/faults.js';
 import { Cluster } from './sim/cluster.js';
-import { CANCEL_MS, LEASE_MS, zoneOf } from './sim/cluster-config.js';
+import { CANCEL_MS, LEASE_MS } from './sim/cluster-config.js';
 import { defaultOperatorSettings } from '../src/settings/operator.js';
 import { leaseExtensionMs } from '../src/leadership/lease-extension.js';
 import { BATCH, SERVICE } from './sim/jobs.js';
 import { HEARTBEAT_PATH, type WorkerHeartbeat, encodeHeartbeat } from './sim/wire/workers.js';
 
-async function ensureLeaderInZoneA(cluster: Cluster): Promise<void> {
-  for (let i = 0; i < 20 && zoneOf(cluster.leader() ?? 'n1') !== 'a'; i++) {
-    if (cluster.leader()) cluster.crash(cluster.leader()!, 200);
-    await cluster.run(8);
-  }
-}
-
 test('a machine that sends heartbeats but receives nothing is deleted and does not delay a failover', async () => {
   const cluster = await clusterWithService(12);
   const affectedMachine = [...cluster.invariants.placesByTask.values()][0][0].machine;
@@ -136,13 +129,7 @@
   await cluster.run(12);
   // The leader must be in zone a, since zone b with its two controllers is isolated below.
   await ensureLeaderInZoneA(cluster);
-  const inB = cluster.faults.isHostIn('b');
-  cluster.network.partitions.push({
-    a: inB,
-    b: (host) => !inB(host),
-    until: Infinity,
-    mode: 'hold',
-  });
+  cluster.faults.isolateZone('b', Infinity, 'hold');
   await cluster.run(1);
   cluster.crash(cluster.leader()!, 200);
   recoveryCompletedAt.length = 0;
--- a/test/late-peer-messages.test.ts
+++ b/test/late-peer-messages.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Cluster } from './sim/cluster.js';
-import { zoneOf } from './sim/cluster-config.js';
+import { ensureLeaderInZoneA } from './sim/faults.js';
 import { BATCH } from './sim/jobs.js';
 
 /** The only controller in zone b. */
@@ -21,10 +21,7 @@
   cluster.network.lossRate = 0;
   cluster.network.repeatRate = 0;
   await cluster.run(4);
-  for (let i = 0; i < 20 && zoneOf(cluster.leader() ?? RESTARTED) !== 'a'; i++) {
-    if (cluster.leader()) cluster.crash(cluster.leader()!, 200);
-    await cluster.run(8);
-  }
+  await ensureLeaderInZoneA(cluster);
   const array = { ...BATCH, tasks: TASKS, cpus: 4, imageGb: 0, durationS: 500, team: 't0' };
   void cluster.users.run(cluster.users.newJob(array), null);
   await cluster.run(UP_S);
@@ -42,13 +39,7 @@
   const restart = { heldMs: 1500, downMs: 2000, lateMs };
   cluster.faults.restartWithLateMessages(RESTARTED, cluster.leader()!, restart);
   await cluster.run((restart.heldMs + restart.downMs + SETTLED_MS) / 1000);
-  const inside = cluster.faults.isHostIn('b');
-  cluster.network.partitions.push({
-    a: inside,
-    b: (host) => !inside(host),
-    until: cluster.clock.time + PARTITION_S * 1000,
-    mode: 'reset',
-  });
+  cluster.faults.isolateZone('b', PARTITION_S * 1000, 'reset');
   await cluster.run(PARTITION_S + 15);
 }
 
--- a/test/peer-connection.test.ts
+++ b/test/peer-connection.test.ts
@@ -4,6 +4,7 @@
 import { type Server, type Socket, createServer } from 'node:net';
 import { test } from 'node:test';
 import { PeerConnection } from '../src/peers/peer-connection.js';
+import type { Clock } from '../src/runtime.js';
 import { freePort } from './sim/loopback-server.js';
 import { waitUntil } from './sim/wait-until.js';
 
@@ -25,16 +26,6 @@
   }
 }
 
-const clock = {
-  now: () => performance.now(),
-  after: (ms: number, callback: () => void) => {
-    const timer = setTimeout(callback, ms);
-    return () => {
-      clearTimeout(timer);
-    };
-  },
-};
-
 // Guards against a grant to one process of a controller that reaches the next one.
 test('a connection counts from when the present process of the other controller was reached', async (context) => {
   const port = await freePort();
@@ -44,11 +35,18 @@
     isTestOver = true;
     for (const process of processes) process.end();
   });
-  const after = (ms: number, callback: () => void): (() => void) =>
-    clock.after(ms, () => {
-      if (!isTestOver) callback();
-    });
-  const connection = new PeerConnection({ ...clock, after }, `${HOST}:${port}`);
+  const clock: Clock = {
+    now: () => performance.now(),
+    after: (ms, callback) => {
+      const timer = setTimeout(() => {
+        if (!isTestOver) callback();
+      }, ms);
+      return () => {
+        clearTimeout(timer);
+      };
+    },
+  };
+  const connection = new PeerConnection(clock, `${HOST}:${port}`);
   await processes[0].listen(port);
   assert.equal(connection.openSince(), null);
   connection.run();
--- a/test/sim/cluster-faults.ts
+++ b/test/sim/cluster-faults.ts
@@ -99,6 +99,17 @@
     });
   }
 
+  /** Isolates the machines and controllers of a zone from all other hosts. */
+  isolateZone(zone: string, ms: number, mode: 'hold' | 'reset'): void {
+    const inside = this.isHostIn(zone);
+    this.deps.network.partitions.push({
+      a: inside,
+      b: (host) => !inside(host),
+      until: this.deps.clock.time + ms,
+      mode,
+    });
+  }
+
   /**
    * Restarts the controller; what it sent to the other one shortly before reaches that one only after the restart. The
    * messages of the new process are not held up, since they have a connection of their own.
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -46,7 +46,7 @@
   readonly faults: ClusterFaults;
   readonly peerLinks: PeerLinks;
   readonly nodeNames: string[];
-  private readonly processes = new Map<string, PeerProcess>();
+  readonly processes = new Map<string, PeerProcess>();
   /** Whether the next machine to boot is faulty. */
   nextMachineFaulty = false;
   /** Factor by which everything takes longer on the next machine to boot. */
--- a/test/sim/faults.ts
+++ b/test/sim/faults.ts
@@ -1,7 +1,7 @@
 /** Initial clusters, faults and queries that several tests use. All random choices derive from the cluster's seed. */
 import assert from 'node:assert/strict';
 import { Cluster } from './cluster.js';
-import { type ClusterConfig, LEASE_MS } from './cluster-config.js';
+import { type ClusterConfig, LEASE_MS, zoneOf } from './cluster-config.js';
 import { SERVICE } from './jobs.js';
 import { HEARTBEAT_PATH } from './wire/workers.js';
 
@@ -39,6 +39,14 @@
   return cluster;
 }
 
+/** Crashes leaders until one in zone a leads. */
+export async function ensureLeaderInZoneA(cluster: Cluster): Promise<void> {
+  for (let i = 0; i < 20 && zoneOf(cluster.leader() ?? 'n1') !== 'a'; i++) {
+    if (cluster.leader()) cluster.crash(cluster.leader()!, 200);
+    await cluster.run(8);
+  }
+}
+
 /** Cost of placement, summed over the rounds that the leaders log. */
 export interface PlacementCost {
   cycles: number;
--- a/test/sim/peer-links.ts
+++ b/test/sim/peer-links.ts
@@ -20,6 +20,8 @@
   clock: VirtualClock;
   network: Network;
   invariants: Invariants;
+  /** The present process of each controller. */
+  processes: ReadonlyMap<string, PeerProcess>;
 }
 
 type RequestMessage = Extract<PeerMessage, { t: 'ask' }>;
@@ -29,7 +31,6 @@
  * reaches a later process of its receiver, but may well arrive when its sender has been replaced.
  */
 export class PeerLinks {
-  private readonly processes = new Map<string, PeerProcess>();
   /** By sender and receiver, the time of the sender's clock since which both processes run. */
   private readonly connectedSinceByLink = new Map<string, number>();
   /** Nodes that answer requests for lease extension as `b746609` does: with the time in the request, whoever sent it. */
@@ -44,10 +45,9 @@
     this.listener = listener;
   }
 
-  /** Connects a process that has started to all others; it takes the place of an earlier one of the same controller. */
+  /** Connects a process that has started to all others. */
   connect(process: PeerProcess): void {
-    this.processes.set(process.name, process);
-    for (const other of this.processes.values()) {
+    for (const other of this.deps.processes.values()) {
       if (other === process) continue;
       this.connectedSinceByLink.set(linkKey(process.name, other.name), process.processClock.now());
       this.connectedSinceByLink.set(linkKey(other.name, process.name), other.processClock.now());
@@ -65,7 +65,7 @@
   }
 
   private connectedSince(from: string, to: string): number | null {
-    if (!this.processes.get(to)?.alive) return null;
+    if (!this.deps.processes.get(to)?.alive) return null;
     return this.connectedSinceByLink.get(linkKey(from, to)) ?? null;
   }
 
@@ -73,7 +73,7 @@
     const sent = this.repeatingRequestTimes.has(from) ? this.asOlderBuild(message) : message;
     this.listener(sent);
     if (sent === message) this.checkGrant(message);
-    for (const [to, target] of this.processes)
+    for (const [to, target] of this.deps.processes)
       if (to !== from)
         this.deps.network.sendOneWay(`${from}:80`, `${to}:80`, () => {
           if (target.alive && target.frozenUntil <= this.deps.clock.time)
@@ -98,7 +98,7 @@
    */
   private checkGrant(message: PeerMessage): void {
     if (message.t !== 'grant' || !message.keep) return;
-    const receiver = this.processes.get(message.to);
+    const receiver = this.deps.processes.get(message.to);
     if (receiver?.alive && message.at > receiver.processClock.now())
       this.deps.invariants.recordViolation('grant_from_future', message.to);
   }
