--- a/src/jobs/cancellations.ts
+++ b/src/jobs/cancellations.ts
@@ -72,9 +72,12 @@
     return this.ageMs() <= this.maxAgeToRenewMs;
   }
 
-  /** Returns the given commands with stops added for the reported tasks that are known to be cancelled. */
+  /**
+   * Returns the given commands with stops added for the reported tasks that are known to be cancelled. Given stops of
+   * such tasks leave them no time to save.
+   */
   withStops(heartbeat: Heartbeat, commands: WorkerCommand[]): WorkerCommand[] {
-    const withStops = [...commands];
+    const withStops = commands.map((command) => this.withoutGrace(command));
     for (const task of heartbeat.tasks) {
       if (task.state === 'exited' || !this.known.has(task.job)) continue;
       if (commands.some((command) => isStopOf(command, task))) continue;
@@ -83,6 +86,11 @@
     }
     return withStops;
   }
+
+  private withoutGrace(command: WorkerCommand): WorkerCommand {
+    const isCancelled = command.op === 'stop' && this.known.has(command.job);
+    return isCancelled ? { ...command, graceS: 0 } : command;
+  }
 }
 
 function isStopOf(command: WorkerCommand, task: TaskStatus): boolean {
--- a/src/placement/decision-log.ts
+++ b/src/placement/decision-log.ts
@@ -1,11 +1,12 @@
 /**
  * The leader's latest decisions on tasks, with the data they were based on: a bounded list in memory that is written to
  * the log when an audit finds a violation. The violation can then be traced without an info line for each start in a
- * large fleet. Stops that `GangScheduler` and `GangRelocation` decide are not recorded.
+ * large fleet.
  */
 import type { Log } from '../runtime.js';
 import type { ExitCause } from '../wire/model.js';
 import type { StopReason } from '../workers/stop-reason.js';
+import type { StopRequest } from '../workers/stop-request.js';
 import type { AttemptState, TaskAttempt } from '../workers/task-attempt.js';
 import type { QuotaStatus } from './team-usage.js';
 
@@ -33,7 +34,13 @@
       limitCpus: number;
     })
   | (DecisionOnAttempt & { kind: 'discovered'; state: AttemptState })
-  | (DecisionOnAttempt & { kind: 'stop'; reason: StopReason })
+  | (DecisionOnAttempt & {
+      kind: 'stop';
+      reason: StopReason;
+      graceS: number;
+      /** The reason of the stop that this one replaces; null if there was none. */
+      earlierReason: StopReason | null;
+    })
   | (DecisionOnAttempt & {
       kind: 'end';
       state: AttemptState;
@@ -78,8 +85,15 @@
     this.record({ ...attemptFields(attempt, at), kind: 'discovered', state: attempt.state });
   }
 
-  stopped(attempt: TaskAttempt, reason: StopReason, at: number): void {
-    this.record({ ...attemptFields(attempt, at), kind: 'stop', reason });
+  /** Records a stop; `earlier` is the one that it replaces, or null. */
+  stopped(
+    attempt: TaskAttempt,
+    { reason, graceS }: StopRequest,
+    earlier: StopRequest | null,
+    at: number,
+  ): void {
+    const earlierReason = earlier?.reason ?? null;
+    this.record({ ...attemptFields(attempt, at), kind: 'stop', reason, graceS, earlierReason });
   }
 
   /** Records that the attempt is on no machine any more; its state and the machine's incarnation prove it. */
--- a/src/placement/gang-relocation.ts
+++ b/src/placement/gang-relocation.ts
@@ -4,7 +4,9 @@
 import type { Machine } from '../workers/machine.js';
 import type { MachineTable } from '../workers/machine-table.js';
 import type { StopReason } from '../workers/stop-reason.js';
-import type { StopRequest, TaskAttempt } from '../workers/task-attempt.js';
+import type { StopRequest } from '../workers/stop-request.js';
+import type { TaskAttempt } from '../workers/task-attempt.js';
+import type { AttemptStopper } from './attempt-stopper.js';
 import { fitsGang } from './gang-capacity.js';
 import { attemptsOf, gangState } from './gang-state.js';
 import { satisfiesConstraints } from './machine-constraints.js';
@@ -18,13 +20,12 @@
 /** Dependencies of `GangRelocation`. */
 export interface GangRelocationDependencies {
   table: MachineTable;
+  stopper: AttemptStopper;
   log: Log;
   /** Time in seconds within which the tasks of a running gang notice that one of them no longer runs. */
   gangPeerS: number;
   /** Interval between two heartbeats of a machine, in seconds. */
   heartbeatIntervalS: number;
-  /** Current time by the monotonic clock, in milliseconds. */
-  now(): number;
   /** Whether the machine may be given work. */
   isUsable(machine: Machine): boolean;
 }
@@ -42,8 +43,7 @@
   vacateMachine(attempt: TaskAttempt, gang: Job, timeLeftS: number, reason: StopReason): boolean {
     const state = gangState(gang);
     if (state === 'starting') {
-      const request: StopRequest = { graceS: 0, reason, replaced: true };
-      this.deps.table.stop(attempt, request, this.deps.now());
+      this.deps.stopper.stop(attempt, { graceS: 0, reason, replaced: true });
       return true;
     }
     if (state !== 'running') return false;
@@ -84,6 +84,6 @@
     const canSave = checkpointS > 0 && saveS <= timeLeftS && this.areAllResponsive(gang);
     if (!canSave) this.deps.log.info({ job: id, reason }, 'gang stops without a checkpoint');
     const request: StopRequest = { graceS: canSave ? saveS : 0, reason, replaced: false };
-    for (const attempt of attemptsOf(gang)) this.deps.table.stop(attempt, request, this.deps.now());
+    for (const attempt of attemptsOf(gang)) this.deps.stopper.stop(attempt, request);
   }
 }
--- a/src/placement/gang-scheduler.ts
+++ b/src/placement/gang-scheduler.ts
@@ -4,6 +4,7 @@
 import type { MachineTable } from '../workers/machine-table.js';
 import type { StopReason } from '../workers/stop-reason.js';
 import type { TaskAttempt } from '../workers/task-attempt.js';
+import type { AttemptStopper } from './attempt-stopper.js';
 import { placementGroups, totalTaskSlots } from './gang-capacity.js';
 import {
   attemptsOf,
@@ -34,6 +35,7 @@
 /** Dependencies of `GangScheduler`. */
 export interface GangSchedulerDependencies {
   table: MachineTable;
+  stopper: AttemptStopper;
   usage: TeamUsage;
   reservations: Reservations;
   /** Seconds that a task that has its image waits for the others before it gives up. */
@@ -105,7 +107,7 @@
       const candidates = new MachineCandidates(gang, group, options.context);
       const victims = this.addAllOrNone(gang, tasks, candidates, attemptNumber);
       if (!victims) continue;
-      for (const victim of victims) this.stopNow(victim, 'preempted');
+      for (const victim of victims) this.deps.stopper.stopNow(victim, 'preempted');
       gang.lastStartAt = this.deps.now();
       return 'placed';
     }
@@ -178,7 +180,7 @@
   /** Stops the whole gang immediately; progress since its last checkpoint is lost. */
   private abortGang(gang: Job, reason: StopReason): void {
     gang.gangAttemptAborted = gang.attempts.size > 0;
-    for (const attempt of attemptsOf(gang)) this.stopNow(attempt, reason);
+    for (const attempt of attemptsOf(gang)) this.deps.stopper.stopNow(attempt, reason);
   }
 
   /**
@@ -189,16 +191,12 @@
   private abortAfterFetches(gang: Job): void {
     gang.gangAttemptAborted = gang.attempts.size > 0;
     for (const attempt of attemptsOf(gang))
-      if (attempt.state !== 'fetching') this.stopNow(attempt, 'gang-start-timeout');
+      if (attempt.state !== 'fetching') this.deps.stopper.stopNow(attempt, 'gang-start-timeout');
   }
 
   /** Called for each reported attempt of a gang: after an abort, stops attempts that have fetched their image. */
   attemptReported(gang: Job, attempt: TaskAttempt): void {
     if (gang.gangAttemptAborted && attempt.state === 'waiting')
-      this.stopNow(attempt, 'gang-attempt-aborted');
-  }
-
-  private stopNow(attempt: TaskAttempt, reason: StopReason): void {
-    this.deps.table.stop(attempt, { graceS: 0, reason, replaced: false }, this.deps.now());
+      this.deps.stopper.stopNow(attempt, 'gang-attempt-aborted');
   }
 }
--- a/src/placement/machine-drain.ts
+++ b/src/placement/machine-drain.ts
@@ -82,7 +82,7 @@
       (progress.promisedCpus.get(machineWithCapacity) ?? 0) + job.spec.cpus,
     );
     const graceS = job.spec.checkpointS > 0 ? Math.min(job.spec.saveS, timeLeftS) : 0;
-    this.deps.stopper.stop(attempt, graceS, 'machine-drained');
+    this.deps.stopper.stop(attempt, { graceS, reason: 'machine-drained', replaced: false });
     return true;
   }
 
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -28,6 +28,7 @@
 import { RunTimePrediction } from './run-time-prediction.js';
 import { SchedulingCycleRunner } from './scheduling-cycle-runner.js';
 import { SchedulingStats } from './scheduling-stats.js';
+import { StopLog } from './stop-log.js';
 import { TaskScheduler } from './task-scheduler.js';
 import { TeamUsage } from './team-usage.js';
 import { UsableMachines } from './usable-machines.js';
@@ -58,6 +59,7 @@
   private readonly demand: DemandHistory;
   private readonly guaranteed: GuaranteedJobs;
   private readonly stopper: AttemptStopper;
+  private readonly stopLog: StopLog;
   private readonly gangs: GangScheduler;
   private readonly rebalancer: Rebalancer;
   private readonly accounting: AttemptAccounting;
@@ -85,19 +87,23 @@
     const state = { jobs, table, machines, usage, reservations, guaranteed, demand, runTimes };
     const shared = { ...state, operator, context, stats, decisions, log, now };
     const nextAttemptNumber = (): number => this.nextAttemptNumber();
-    this.stopper = new AttemptStopper(table, decisions, stats, now);
+    this.stopLog = new StopLog(log);
+    this.stopper = new AttemptStopper({ ...shared, stopLog: this.stopLog });
+    const { stopper } = this;
     this.gangs = new GangScheduler({
       ...shared,
+      stopper,
       gangWaitS: settings.gangWaitS,
       nextAttemptNumber,
     });
     const relocation = new GangRelocation({
       ...shared,
+      stopper,
       gangPeerS: settings.gangPeerS,
       heartbeatIntervalS: settings.heartbeatIntervalS,
       isUsable: (machine) => machines.isUsable(machine),
     });
-    const { stopper, gangs } = this;
+    const { gangs } = this;
     this.usageAudit = new UsageAudit(shared);
     this.accounting = new AttemptAccounting({ ...shared, gangs });
     this.rebalancer = new Rebalancer({ ...shared, gangRelocation: relocation, stopper });
@@ -134,9 +140,10 @@
     if (machine.preemptionDeadline !== null && !machine.drainReason) machine.drainReason = 'notice';
     const now = this.deps.runtime.clock.now();
     for (const attempt of [...machine.attempts.values()]) {
-      if (!attempt.mayBeOnMachine() || attempt.stop) continue;
+      if (!attempt.mayBeOnMachine()) continue;
+      // Also if the attempt is stopping: it may have been given time to save before it became obsolete.
       const reason = obsoleteReason(attempt);
-      if (reason !== null) this.stopper.stop(attempt, 0, reason);
+      if (reason !== null) this.stopper.stopNow(attempt, reason);
       else if (attempt.job?.spec.kind === 'gang') this.gangs.attemptReported(attempt.job, attempt);
     }
     if (machine.drainReason === 'notice') this.rebalancer.drain(machine, now);
@@ -154,7 +161,7 @@
   /** Stops all attempts of a cancelled job. */
   jobCancelled(job: Job): void {
     for (const attempts of [...job.attempts.values()])
-      for (const attempt of [...attempts]) this.stopper.stop(attempt, 0, 'job-cancelled');
+      for (const attempt of [...attempts]) this.stopper.stopNow(attempt, 'job-cancelled');
   }
 
   /** A job has left the job table. */
@@ -188,6 +195,7 @@
   /** Called at each tick of the leader. */
   tick(now: number): void {
     this.usageAudit.tick(now);
+    this.stopLog.flush();
   }
 
   /**
--- a/src/placement/scheduling-stats.ts
+++ b/src/placement/scheduling-stats.ts
@@ -13,10 +13,7 @@
   return { cycles: 0, candidatesExamined: 0, starts: 0, stops: {} };
 }
 
-/**
- * Counts cycles, examined candidates, starts, and stops by reason. Only stops by `AttemptStopper` are counted: not
- * those by which gangs are aborted, moved, or preempt other tasks.
- */
+/** Counts cycles, examined candidates, starts, and stops by reason; a stop that replaces another is counted again. */
 export class SchedulingStats {
   private counts = noCounts();
 
--- a/src/placement/straggler-relocation.ts
+++ b/src/placement/straggler-relocation.ts
@@ -77,7 +77,7 @@
     if (!this.isCapacityElsewhere(job)) return false;
     job.moved.add(attempt.taskNumber);
     const graceS = job.spec.checkpointS > 0 ? job.spec.saveS : 0;
-    this.deps.stopper.stop(attempt, graceS, 'moved-off-straggler');
+    this.deps.stopper.stop(attempt, { graceS, reason: 'moved-off-straggler', replaced: false });
     return true;
   }
 
--- a/src/placement/task-scheduler.ts
+++ b/src/placement/task-scheduler.ts
@@ -114,7 +114,7 @@
     const choice = candidates.selectBest();
     if (!choice) return null;
     const { machine, victims } = choice;
-    for (const victim of victims) stopper.stop(victim, 0, 'preempted');
+    for (const victim of victims) stopper.stopNow(victim, 'preempted');
     job.lastStartAt = cycle.now;
     table.addAttempt(
       machine,
@@ -142,7 +142,7 @@
     considered.add(team);
     if (priority > 0 || !recoveryComplete || !isFirst) return;
     for (const victim of victimsWithinTeam(job, this.deps.jobs.all()))
-      this.deps.stopper.stop(victim, 0, 'preempted-within-team');
+      this.deps.stopper.stopNow(victim, 'preempted-within-team');
   }
 }
 
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -2,7 +2,8 @@
 import type { WorkerCommand } from '../wire/model.js';
 import type { Machine } from './machine.js';
 import type { MachineTable } from './machine-table.js';
-import type { StopRequest, TaskAttempt } from './task-attempt.js';
+import type { StopRequest } from './stop-request.js';
+import type { TaskAttempt } from './task-attempt.js';
 
 /** Interval at which stops and forgets are repeated until the machine's heartbeats show that they were executed. */
 const COMMAND_REPEAT_MS = 2000;
--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -7,7 +7,8 @@
 import { FencingTokens } from './fencing-tokens.js';
 import { HeartbeatApplier } from './heartbeat-applier.js';
 import type { Machine } from './machine.js';
-import { type StopRequest, TaskAttempt } from './task-attempt.js';
+import { type StopOutcome, type StopRequest, combineStops } from './stop-request.js';
+import { TaskAttempt } from './task-attempt.js';
 import { TrackedMachine } from './tracked-machine.js';
 
 /** Workers check their leases only periodically. */
@@ -134,17 +135,21 @@
   /**
    * Stops a task: the stop command is repeated until the task exits. A start that is still in flight is refused once a
    * heartbeat response has delivered the new token. A start that was never sent is dropped, since it cannot be on
-   * any machine.
+   * any machine. If a stop is pending already, `combineStops` decides which of the two applies. A stricter one is sent
+   * at once; it does not wait until the repetition of the earlier one is due.
    */
-  stop(attempt: TaskAttempt, request: StopRequest, now: number): void {
+  stop(attempt: TaskAttempt, request: StopRequest, now: number): StopOutcome {
     if (!attempt.startSent) {
       this.removeAttempt(attempt, now);
-      return;
+      return { kind: 'never-sent' };
     }
-    if (attempt.stop) return;
-    attempt.stop = request;
+    const outcome = combineStops(attempt.stop, request);
+    if (outcome.kind !== 'requested' && outcome.kind !== 'tightened') return outcome;
+    attempt.stop = outcome.request;
+    attempt.stopSentAt = -Infinity;
     if (attempt.startUnacknowledged) this.advanceToken(attempt.machine);
     this.backlog.markPending(attempt.machine);
+    return outcome;
   }
 
   /** Applies a heartbeat. Returns false, and changes nothing, if it is not newer, or the machine was removed. */
--- a/src/workers/stop-reason.ts
+++ b/src/workers/stop-reason.ts
@@ -1,8 +1,13 @@
 /** The reasons for which the leader stops an attempt. */
 
 /** Stops of attempts that are not needed any more: unknown, duplicate, already finished elsewhere, or cancelled. */
-type ObsoleteAttemptReason =
-  'unknown-job' | 'job-cancelled' | 'finished-elsewhere' | 'duplicate-attempt';
+const OBSOLETE_ATTEMPT_REASONS = [
+  'unknown-job',
+  'job-cancelled',
+  'finished-elsewhere',
+  'duplicate-attempt',
+] as const;
+type ObsoleteAttemptReason = (typeof OBSOLETE_ATTEMPT_REASONS)[number];
 
 /** Stops that make capacity or quota available to other work. */
 type PreemptionReason = 'preempted' | 'preempted-within-team';
@@ -17,3 +22,10 @@
 /** Logged with each stop; it is not sent to workers. */
 export type StopReason =
   ObsoleteAttemptReason | PreemptionReason | RelocationReason | GangAbortReason;
+
+const DISCARDING: ReadonlySet<StopReason> = new Set(OBSOLETE_ATTEMPT_REASONS);
+
+/** Whether nobody has any use for the progress of a task that is stopped for this reason. */
+export function discardsProgress(reason: StopReason): boolean {
+  return DISCARDING.has(reason);
+}
--- a/src/workers/task-attempt.ts
+++ b/src/workers/task-attempt.ts
@@ -2,7 +2,7 @@
 import type { TrackedJob } from '../jobs/tracked-job.js';
 import type { Transitions } from '../state-machine.js';
 import type { ExitCause } from '../wire/model.js';
-import type { StopReason } from './stop-reason.js';
+import type { StopRequest } from './stop-request.js';
 import type { TrackedMachine } from './tracked-machine.js';
 
 /**
@@ -37,18 +37,6 @@
   return `${jobId}/${taskNumber}/${attemptNumber}`;
 }
 
-/** Why and how an attempt is to be stopped. */
-export interface StopRequest {
-  /** Time that the task has to save its state, in seconds. */
-  graceS: number;
-  reason: StopReason;
-  /**
-   * Only for a gang that has not begun to run: this task alone is stopped, and started again under the same attempt
-   * number.
-   */
-  replaced: boolean;
-}
-
 /** An attempt of a task that may be on a machine. */
 export class TaskAttempt {
   state: AttemptState = 'starting';
@@ -59,8 +47,9 @@
   startUnacknowledged = true;
   /** Once the machine has reported this token, a start without a response can no longer be executed. 0: not fenced. */
   fencedByToken = 0;
-  /** Set when the task is to be stopped. */
+  /** Set when the task is to be stopped; replaced only by a stricter request. */
   stop: StopRequest | null = null;
+  /** When `stop` was last sent in a request of its own; -Infinity if it was not. */
   stopSentAt = -Infinity;
   forgetSentAt = -Infinity;
   /**
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -7,19 +7,15 @@
 import { JobTable } from '../src/jobs/job-table.js';
 import { TrackedJob } from '../src/jobs/tracked-job.js';
 import { GangRelocation } from '../src/placement/gang-relocation.js';
-import { Placement } from '../src/placement/placement.js';
-import { defaultOperatorSettings } from '../src/settings/operator.js';
-import type { PlatformSettings } from '../src/settings/platform.js';
 import { expireFailedMachines, recordFailure } from '../src/placement/failure-tracking.js';
 import type { Machine } from '../src/workers/machine.js';
 import { MachineTable } from '../src/workers/machine-table.js';
 import { RunTimeSamples } from '../src/placement/run-time-samples.js';
 import { detectStragglers } from '../src/placement/straggler-detection.js';
 import { finishGoals, servingOrder, urgency } from '../src/placement/job-order.js';
-import type { MachineType } from '../src/wire/model.js';
 import { spec } from './sim/job-spec.js';
 import { machineType } from './sim/machine-type.js';
-import { quietLog } from './sim/quiet-log.js';
+import { addMachines, createPlacement } from './sim/placement-harness.js';
 import type { TaskAttempt } from '../src/workers/task-attempt.js';
 
 test('a gang is relocated only as a whole: if all of it fits elsewhere and all its machines are reachable', () => {
@@ -132,49 +128,6 @@
   assert.deepEqual(order, ['service', 'small', 'big', 'second', 'late']);
 });
 
-/** Creates a placement over a table whose machines are all reachable; no request is sent. */
-function createPlacement(
-  jobs: JobTable,
-  settings: Partial<PlatformSettings>,
-): { table: MachineTable; placement: Placement } {
-  const table: MachineTable = new MachineTable(100, 10_000, (id) => jobs.get(id), {
-    attemptAdded: (attempt) => {
-      placement.attemptAdded(attempt);
-    },
-    attemptEnded: (attempt) => {
-      placement.attemptEnded(attempt);
-    },
-  });
-  const placement: Placement = new Placement({
-    runtime: {
-      clock: { now: () => 0, after: () => () => undefined },
-      http: { send: () => Promise.reject(new Error('nothing is sent')) },
-      log: quietLog,
-      random: () => 0.5,
-    },
-    settings: { objectives: [], ...settings } as PlatformSettings,
-    operator: defaultOperatorSettings(),
-    jobs,
-    table,
-    attemptBase: 0,
-    recoveryComplete: () => true,
-    isUnreachable: () => false,
-    wallMs: () => 0,
-  });
-  return { table, placement };
-}
-
-function addMachines(table: MachineTable, count: number, type: MachineType): void {
-  for (let i = 0; i < count; i++) {
-    const machine = table.add(`m${i}`, `m${i}:1`, type, 'a', false, 0);
-    Object.assign(machine, {
-      stored: true,
-      reported: true,
-      reportedToken: 100,
-    } satisfies Partial<Machine>);
-  }
-}
-
 // Urgent arrays beyond their team's guarantee must not preempt normal ones within theirs, since these would preempt the
 // urgent ones again: seven of ten started tasks were preempted in one incident.
 test('two teams on a full fleet do not preempt each other repeatedly', () => {
