--- a/src/placement/gang-relocation.ts
+++ b/src/placement/gang-relocation.ts
@@ -26,6 +26,8 @@
   gangPeerS: number;
   /** Interval between two heartbeats of a machine, in seconds. */
   heartbeatIntervalS: number;
+  /** Current time by the monotonic clock, in milliseconds. */
+  now(): number;
   /** Whether the machine may be given work. */
   isUsable(machine: Machine): boolean;
 }
@@ -77,13 +79,29 @@
   /**
    * Stops all tasks at the same time and gives them time to save, so that the next attempt continues from there. If
    * that is impossible because a machine is not responsive or the time is too short, the gang falls back to its last
-   * checkpoint.
+   * checkpoint; unless it may be saving already, which a stop without time to save would end.
    */
   stopWithCheckpoint(gang: Job, reason: StopReason, timeLeftS = Infinity): void {
     const { id, saveS, checkpointS } = gang.spec;
     const canSave = checkpointS > 0 && saveS <= timeLeftS && this.areAllResponsive(gang);
     if (!canSave) this.deps.log.info({ job: id, reason }, 'gang stops without a checkpoint');
-    const request: StopRequest = { graceS: canSave ? saveS : 0, reason, replaced: false };
+    const graceS = canSave || this.mayBeSaving(gang) ? saveS : 0;
+    const request: StopRequest = { graceS, reason, replaced: false };
     for (const attempt of attemptsOf(gang)) this.deps.stopper.stop(attempt, request);
   }
+
+  /**
+   * Whether a former leader may have told the gang to save: workers report tasks of a gang as running also while they
+   * save. One that still runs after it could have saved was not told.
+   */
+  private mayBeSaving(gang: Job): boolean {
+    const { checkpointS, saveS } = gang.spec;
+    const now = this.deps.now();
+    return (
+      checkpointS > 0 &&
+      attemptsOf(gang).some(
+        ({ startTimeUnknown, createdAt }) => startTimeUnknown && now - createdAt < saveS * 1000,
+      )
+    );
+  }
 }
--- a/src/workers/heartbeat-applier.ts
+++ b/src/workers/heartbeat-applier.ts
@@ -4,6 +4,7 @@
 import type { AttemptLifecycle } from './attempt-lifecycle.js';
 import { recordReportedToken } from './fencing-tokens.js';
 import type { Machine } from './machine.js';
+import type { StopRequest } from './stop-request.js';
 import { TaskAttempt, attemptKey } from './task-attempt.js';
 
 /** Applies heartbeats in the order in which workers sent them. Each heartbeat lists all attempts on its machine. */
@@ -52,6 +53,9 @@
     attempt.startUnacknowledged = false;
     if (task.state === 'exited' && attempt.cause === null) attempt.cause = task.cause;
     this.lifecycle.transitionTo(attempt, task.state, now);
+    // A task saves only if it was told to stop. Its new leader must neither stop it again with less time, nor start
+    // anything in its favour: it is leaving already.
+    if (attempt.state === 'saving' && attempt.job) attempt.stop ??= stopByFormerLeader(attempt.job);
   }
 
   /** Adds an attempt that the table does not have: a former leader started it, or this leader removed it before. */
@@ -71,6 +75,11 @@
   return heartbeat.sequence > lastSequence;
 }
 
+/** The stop that a task which saves was given before this leader's term, as far as it is known. */
+function stopByFormerLeader(job: Job): StopRequest {
+  return { graceS: job.spec.saveS, reason: 'stopped-by-former-leader', replaced: false };
+}
+
 function applyMachineStatus(machine: Machine, heartbeat: Heartbeat, now: number): void {
   const { preemptionNoticeS } = heartbeat;
   machine.lastAppliedSequence = heartbeat.sequence;
--- a/src/workers/stop-reason.ts
+++ b/src/workers/stop-reason.ts
@@ -12,8 +12,15 @@
 /** Stops that make capacity or quota available to other work. */
 type PreemptionReason = 'preempted' | 'preempted-within-team';
 
-/** Stops that move a task to another machine. */
-type RelocationReason = 'machine-drained' | 'moved-off-straggler' | 'gang-moved-off-straggler';
+/**
+ * Stops that move a task to another machine. `stopped-by-former-leader`: a worker reports that the task saves, so a
+ * former leader has stopped it, most likely to move it.
+ */
+type RelocationReason =
+  | 'machine-drained'
+  | 'moved-off-straggler'
+  | 'gang-moved-off-straggler'
+  | 'stopped-by-former-leader';
 
 /** Stops of all tasks of a gang that can't run as a whole. */
 type GangAbortReason =
--- a/src/workers/task-attempt.ts
+++ b/src/workers/task-attempt.ts
@@ -47,7 +47,10 @@
   startUnacknowledged = true;
   /** Once the machine has reported this token, a start without a response can no longer be executed. 0: not fenced. */
   fencedByToken = 0;
-  /** Set when the task is to be stopped; replaced only by a stricter request. */
+  /**
+   * Set when the task is to be stopped, or a former leader has stopped it. Replaced only by `MachineTable.stop`, by a
+   * stricter request.
+   */
   stop: StopRequest | null = null;
   /** When `stop` was last sent in a request of its own; -Infinity if it was not. */
   stopSentAt = -Infinity;
--- a/test/cancellation-while-saving.test.ts
+++ b/test/cancellation-while-saving.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against tasks that save for longer than a cancellation allows: a stop that gave them time to save was kept
- * when their job was cancelled, and they stayed on their machines until they had saved (`ran_cancelled`).
+ * when their job was cancelled, and they stayed on their machines until they had saved (`ran_cancelled`). Also guards
+ * against a new leader that takes the time to save from tasks of jobs that nobody has cancelled.
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -28,6 +29,7 @@
 async function clusterWithSavingJob(
   seed: number,
   overrides: Partial<JobSubmission>,
+  noticeMs = NOTICE_MS,
 ): Promise<{ cluster: Cluster; job: ObservedJob }> {
   const cluster = await clusterWithoutLoss({ seed, nodes: 5, ordinaryUp: 8 });
   const job = submit(cluster, overrides);
@@ -36,8 +38,7 @@
   await runUntil(cluster, isRunning, 30);
   await cluster.run(3);
   for (const machine of new Set(machinesOfJob(cluster, job)))
-    cluster.cloud.machines.get(machine)!.worker!.preemptionDeadline =
-      cluster.clock.time + NOTICE_MS;
+    cluster.cloud.machines.get(machine)!.worker!.preemptionDeadline = cluster.clock.time + noticeMs;
   await cluster.run(4);
   assert.equal(machinesOfJob(cluster, job).length, tasks, 'all tasks save');
   return { cluster, job };
@@ -98,3 +99,15 @@
       assert.deepEqual(cluster.invariants.violations, []);
       assert.equal(machinesOfJob(cluster, job).length, 0);
     });
+
+for (const [kind, overrides] of KINDS)
+  for (const seed of [41, 42])
+    test(`${kind} that saves is not interrupted by a new leader, although less time is left by then than it needs (${seed})`, async () => {
+      const { cluster, job } = await clusterWithSavingJob(seed, overrides, SAVE_S * 1000 + 5000);
+      await cluster.run(4);
+      cluster.crash(cluster.leader()!, 200);
+      await cluster.run(SAVE_S);
+      assert.deepEqual(cluster.invariants.interruptedSaves, []);
+      if (job.spec.kind === 'gang') assert.ok(job.progressMs > 3000, `${job.progressMs} ms saved`);
+      assert.deepEqual(cluster.invariants.violations, []);
+    });
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -37,6 +37,8 @@
 export class Cluster {
   readonly clock = new VirtualClock();
   readonly random: SeededRandom;
+  readonly saveRandom: SeededRandom;
+  readonly cancelMs: number;
   readonly network: Network;
   readonly state: StateService;
   readonly cloud: CloudService;
@@ -69,6 +71,8 @@
     this.nodeNames = Array.from({ length: config.nodes }, (_, i) => `n${i}`);
     this.builds = new Map(Object.entries(config.builds));
     this.random = new SeededRandom(config.seed);
+    this.saveRandom = new SeededRandom(config.seed);
+    this.cancelMs = config.cancelMs;
     this.network = new Network(this.clock, this.random);
     this.gangs = new GangCoordinator(this.clock, this.random);
     this.invariants = new Invariants(
--- a/test/sim/gang-coordinator.ts
+++ b/test/sim/gang-coordinator.ts
@@ -69,6 +69,12 @@
     return this.gangs.size;
   }
 
+  /** Whether all tasks of the attempt were told to stop in time, and save. */
+  isSaving(job: ObservedJob, attempt: number): boolean {
+    const gang = this.gangs.get(`${job.spec.id}#${attempt}`);
+    return gang?.state === 'stopping' && gang.stopRequests.size === job.spec.tasks;
+  }
+
   /** Adds a task that has its image to its gang, and starts the gang if the task is the last one. */
   arrive(job: ObservedJob, attempt: number, taskNumber: number, member: Member): void {
     const key = `${job.spec.id}#${attempt}`;
--- a/test/sim/invariants.ts
+++ b/test/sim/invariants.ts
@@ -20,6 +20,8 @@
   starts = 0;
   /** Tasks that were started again after they had finished. */
   readonly startsAfterFinish: string[] = [];
+  /** Tasks that were stopped while they saved although nobody had asked to cancel their job. */
+  readonly interruptedSaves: string[] = [];
   /** For each start after a confirmed cancellation, the time since the confirmation in milliseconds. */
   readonly startsAfterCancellationMs: number[] = [];
 
@@ -104,6 +106,13 @@
     if (done) job?.finishedTasks.add(Number(task.slice(slash + 1)));
   }
 
+  /** Records a stop that leaves a saving task less time than it needs. */
+  saveInterrupted(task: string): void {
+    const job = this.jobs.get(task.slice(0, task.lastIndexOf('/')));
+    if (job && !job.cancelRequested)
+      this.interruptedSaves.push(`${Math.round(this.now())} ${task}`);
+  }
+
   /** Records the response to a request sent at `sentAt`; it must agree with the responses received before that. */
   recordResponse(id: string, { status, job: reported }: JobResponse, sentAt: number): void {
     const job = this.jobs.get(id);
--- a/test/sim/jobs.ts
+++ b/test/sim/jobs.ts
@@ -58,6 +58,22 @@
   deadlineS: null,
 } satisfies Partial<JobSubmission>;
 
+/** Longest time that a random task saves, as a multiple of the time that a cancellation may take. */
+const MAX_SAVE_SHARE_OF_CANCELLATION = 2;
+
+/** Returns for how long the tasks of a random array save when they are stopped; most save briefly or not at all. */
+export function randomSaves(
+  random: SeededRandom,
+  cancelMs: number,
+): Pick<JobSubmission, 'checkpointIntervalS' | 'saveS'> {
+  if (random.chance(0.4)) return { checkpointIntervalS: 0, saveS: 0 };
+  const cancelS = cancelMs / 1000;
+  const saveS = random.chance(0.5)
+    ? random.between(0.2, 4)
+    : random.between(cancelS / 2, MAX_SAVE_SHARE_OF_CANCELLATION * cancelS);
+  return { checkpointIntervalS: random.between(1, 20), saveS };
+}
+
 /** Returns the id of a user's job: `run-` and the number with at least six digits. */
 export function jobId(number: number): string {
   return `run-${String(number).padStart(6, '0')}`;
--- a/test/sim/users.ts
+++ b/test/sim/users.ts
@@ -2,7 +2,7 @@
 import type { VirtualClock } from './clock.js';
 import type { Invariants } from './invariants.js';
 import { observedJob } from './observed-job.js';
-import { randomJob } from './jobs.js';
+import { randomJob, randomSaves } from './jobs.js';
 import type { Network } from './network.js';
 import type { SeededRandom } from './random.js';
 import {
@@ -25,6 +25,10 @@
 export interface UsersDependencies {
   clock: VirtualClock;
   random: SeededRandom;
+  /** Decides how long tasks save; apart from `random`, so that it leaves the rest of a run as it is. */
+  saveRandom: SeededRandom;
+  /** Maximum time in milliseconds from a confirmed cancellation until no task of the job runs. */
+  cancelMs: number;
   network: Network;
   invariants: Invariants;
   nodeNames: string[];
@@ -37,7 +41,10 @@
   constructor(private readonly deps: UsersDependencies) {}
 
   newJob(overrides: Partial<JobSubmission> = {}): JobSubmission {
-    return { ...randomJob(this.nextJob++, this.deps.random), ...overrides };
+    const { random, saveRandom, cancelMs } = this.deps;
+    const job = { ...randomJob(this.nextJob++, random), ...overrides };
+    if (job.kind !== 'array' || job.checkpointIntervalS > 0) return job;
+    return { ...job, ...randomSaves(saveRandom, cancelMs) };
   }
 
   private async send({ method, path, body }: UserRequest, via?: string): Promise<JobResponse> {
--- a/test/sim/worker-tasks.ts
+++ b/test/sim/worker-tasks.ts
@@ -86,9 +86,16 @@
     this.tasks.clear();
   }
 
-  /** Whether the task is saving a checkpoint here after a stop command. */
+  /** Whether the task is saving a checkpoint here after a stop command, alone or with its gang. */
   isSaving(name: string): boolean {
-    return [...this.tasks.values()].some((task) => task.name === name && task.state === 'saving');
+    const [job] = this.jobOf(name);
+    return [...this.tasks.values()].some((task) => task.name === name && this.saves(task, job));
+  }
+
+  private saves(task: Task, job: ObservedJob | undefined): boolean {
+    if (task.state === 'saving') return true;
+    if (job?.spec.kind !== 'gang' || !isExecuting(task)) return false;
+    return this.deps.gangs.isSaving(job, task.attempt);
   }
 
   /** Returns the names of the accepted tasks that have not started, because they still fetch their images. */
@@ -126,6 +133,8 @@
 
   private stop(task: Task, graceS: number): void {
     const [job, taskNumber] = this.jobOf(task.name);
+    if (job && this.saves(task, job) && graceS < job.spec.saveS)
+      this.deps.invariants.saveInterrupted(task.name);
     if (job?.spec.kind === 'gang' && task.state !== 'fetching')
       this.deps.gangs.stop(job, task.attempt, taskNumber, graceS);
     else if (job && this.canSave(task, job, graceS)) this.save(task, job.spec.saveS);
