Let tasks save under a preemption notice also on surplus and faulty machines

What users saw: tasks on a machine that was already marked as surplus or faulty were not told to stop when the cloud announced to take it back, or, on a faulty one, only at the next round, up to 10 s later. They lost what they had done since their last checkpoint.

Cause: the first reason for which a machine is drained was kept, and the notice was acted on only where it was the first. It is the same pattern as that of the stops: a demand that becomes stricter was dropped, since a laxer one stood already. Found by reading the related paths.

Change: a notice is acted on whatever else the machine is drained for. Two tests in test/stop-request.test.ts, both of which failed before.

--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -22,7 +22,7 @@
 import type { SelectionContext } from './machine-candidates.js';
 import { obsoleteReason } from './obsolete-attempts.js';
 import { PreemptionPolicy } from './preemption.js';
-import { Rebalancer } from './rebalancer.js';
+import { Rebalancer, isBeingPreempted } from './rebalancer.js';
 import { Reservations } from './reservations.js';
 import { RoundLog } from './round-log.js';
 import { RunTimePrediction } from './run-time-prediction.js';
@@ -137,7 +137,7 @@
 
   /** A heartbeat was applied to the table: stops obsolete attempts, and drains a machine that will be preempted. */
   heartbeatApplied(machine: Machine): void {
-    if (machine.preemptionDeadline !== null && !machine.drainReason) machine.drainReason = 'notice';
+    if (machine.preemptionDeadline !== null) machine.drainReason ??= 'notice';
     const now = this.deps.runtime.clock.now();
     for (const attempt of [...machine.attempts.values()]) {
       if (!attempt.mayBeOnMachine()) continue;
@@ -146,7 +146,7 @@
       if (reason !== null) this.stopper.stopNow(attempt, reason);
       else if (attempt.job?.spec.kind === 'gang') this.gangs.attemptReported(attempt.job, attempt);
     }
-    if (machine.drainReason === 'notice') this.rebalancer.drain(machine, now);
+    if (isBeingPreempted(machine)) this.rebalancer.drain(machine, now);
   }
 
   // Events of the job table.
--- a/src/placement/rebalancer.ts
+++ b/src/placement/rebalancer.ts
@@ -10,6 +10,11 @@
   type StragglerRelocationDependencies,
 } from './straggler-relocation.js';
 
+/** Whether the cloud takes the machine back, whatever else it is drained for: a surplus machine may still run tasks. */
+export function isBeingPreempted(machine: Machine): boolean {
+  return machine.drainReason === 'notice' || machine.preemptionDeadline !== null;
+}
+
 /** Moves tasks off machines that are slow, faulty or about to be preempted. */
 export class Rebalancer {
   private readonly table: MachineTable;
@@ -26,7 +31,7 @@
   round(now: number): void {
     this.relocation.round(now);
     for (const machine of this.table.all())
-      if (machine.drainReason === 'notice' || machine.drainReason === 'faulty')
+      if (isBeingPreempted(machine) || machine.drainReason === 'faulty')
         this.draining.drain(machine, now);
   }
 
--- a/test/stop-request.test.ts
+++ b/test/stop-request.test.ts
@@ -168,6 +168,16 @@
   for (const attempt of attempts.slice(1)) assert.deepEqual(attempt.stop, MOVE);
 });
 
+for (const drainReason of ['surplus', 'faulty'] as const)
+  test(`tasks on a ${drainReason} machine are told to save once the cloud takes the machine back`, () => {
+    const { placement, attempts } = runningJob({});
+    const [{ machine }, ...others] = attempts;
+    Object.assign(machine, { drainReason, preemptionDeadline: 2 * SAVE_S * 1000 });
+    placement.heartbeatApplied(machine);
+    assert.deepEqual(attempts[0].stop, { ...MOVE, reason: 'machine-drained' });
+    for (const { stop } of others) assert.equal(stop, null);
+  });
+
 test('the log says which stop was requested, with what time to save and why, and which earlier stop it replaces', () => {
   const lines: object[] = [];
   const info = (fields: object, text: string): void => {
