Give tasks either the time that they need to save, or none

A drain gave a task the smaller of what it needs and what was left. With less than it needs it exits without saving anyway, and once a machine was past its announced end the time was negative, which PROTOCOL doesn't know. The rule stood three times; timeToSave has it now: all or nothing.

Test: "not for a negative time" (test/stop-request.test.ts), which failed before. Found by reading the paths related to the stops that became stricter.

--- a/src/placement/gang-relocation.ts
+++ b/src/placement/gang-relocation.ts
@@ -10,6 +10,7 @@
 import { fitsGang } from './gang-capacity.js';
 import { attemptsOf, gangState } from './gang-state.js';
 import { satisfiesConstraints } from './machine-constraints.js';
+import { timeToSave } from './save-time.js';
 
 /**
  * A stop with a checkpoint is deferred only while the time left is longer than the time to save, plus `gangPeerS`, plus
@@ -83,10 +84,14 @@
    */
   stopWithCheckpoint(gang: Job, reason: StopReason, timeLeftS = Infinity): void {
     const { id, saveS, checkpointS } = gang.spec;
-    const canSave = checkpointS > 0 && saveS <= timeLeftS && this.areAllResponsive(gang);
-    if (!canSave) this.deps.log.info({ job: id, reason }, 'gang stops without a checkpoint');
-    const graceS = canSave || this.mayBeSaving(gang) ? saveS : 0;
-    const request: StopRequest = { graceS, reason, replaced: false };
+    const graceS = this.areAllResponsive(gang) ? timeToSave(gang.spec, timeLeftS) : 0;
+    if (checkpointS === 0 || graceS < saveS)
+      this.deps.log.info({ job: id, reason }, 'gang stops without a checkpoint');
+    const request: StopRequest = {
+      graceS: this.mayBeSaving(gang) ? saveS : graceS,
+      reason,
+      replaced: false,
+    };
     for (const attempt of attemptsOf(gang)) this.deps.stopper.stop(attempt, request);
   }
 
--- a/src/placement/machine-drain.ts
+++ b/src/placement/machine-drain.ts
@@ -8,6 +8,7 @@
 import type { GangRelocation } from './gang-relocation.js';
 import { hasCapacity, satisfiesConstraints } from './machine-constraints.js';
 import type { RunTimePrediction } from './run-time-prediction.js';
+import { timeToSave } from './save-time.js';
 import type { UsableMachines } from './usable-machines.js';
 
 /** A task stays on a machine that will be preempted if it is expected to finish within this share of the time left. */
@@ -81,7 +82,7 @@
       machineWithCapacity,
       (progress.promisedCpus.get(machineWithCapacity) ?? 0) + job.spec.cpus,
     );
-    const graceS = job.spec.checkpointS > 0 ? Math.min(job.spec.saveS, timeLeftS) : 0;
+    const graceS = timeToSave(job.spec, timeLeftS);
     this.deps.stopper.stop(attempt, { graceS, reason: 'machine-drained', replaced: false });
     return true;
   }
--- a/src/placement/straggler-relocation.ts
+++ b/src/placement/straggler-relocation.ts
@@ -9,6 +9,7 @@
 import type { GangRelocation } from './gang-relocation.js';
 import { hasCapacity, satisfiesConstraints, zoneFilter } from './machine-constraints.js';
 import type { RunTimePrediction } from './run-time-prediction.js';
+import { timeToSave } from './save-time.js';
 import { detectStragglers, selectTaskToMove } from './straggler-detection.js';
 import type { UsableMachines } from './usable-machines.js';
 
@@ -76,7 +77,7 @@
   private moveTask(attempt: TaskAttempt, job: Job): boolean {
     if (!this.isCapacityElsewhere(job)) return false;
     job.moved.add(attempt.taskNumber);
-    const graceS = job.spec.checkpointS > 0 ? job.spec.saveS : 0;
+    const graceS = timeToSave(job.spec);
     this.deps.stopper.stop(attempt, { graceS, reason: 'moved-off-straggler', replaced: false });
     return true;
   }
--- a/test/stop-request.test.ts
+++ b/test/stop-request.test.ts
@@ -178,6 +178,14 @@
     for (const { stop } of others) assert.equal(stop, null);
   });
 
+test('a task on a machine that the cloud should have taken back already is stopped at once, not for a negative time', () => {
+  const { placement, attempts } = runningJob({});
+  const [{ machine }] = attempts;
+  machine.preemptionDeadline = -1000;
+  placement.heartbeatApplied(machine);
+  assert.equal(attempts[0].stop?.graceS, 0);
+});
+
 test('the log says which stop was requested, with what time to save and why, and which earlier stop it replaces', () => {
   const lines: object[] = [];
   const info = (fields: object, text: string): void => {
