Log the stops that a controller sends while the leader is away

A follower that extends worker leases ends the tasks of cancelled jobs, but no log line told so: whoever looked for why a task had ended saw nothing of it. One line a heartbeat now names the machine and some of the tasks. The stops themselves are as before: they never left time to save.

Test: the four "although the leader crashes" of test/cancellation-while-saving.test.ts look for the line.

--- a/src/heartbeat-endpoint.ts
+++ b/src/heartbeat-endpoint.ts
@@ -13,6 +13,9 @@
 const UNAVAILABLE: ApiResponse = { status: 503, body: {}, retryAfterS: 1 };
 const MALFORMED: ApiResponse = { status: 400, body: { error: 'not a report' } };
 
+/** Bounds the size of one log line. */
+const MAX_TASKS_IN_LOG = 5;
+
 /** Dependencies of the heartbeat endpoint. */
 export interface HeartbeatEndpointDependencies {
   clock: Clock;
@@ -48,14 +51,30 @@
     const term = this.deps.term();
     if (term && this.deps.leadership.isLeader())
       return mayRenew ? this.respondAsLeader(term, heartbeat) : UNAVAILABLE;
-    if (mayRenew && this.mayExtendLease(term, heartbeat))
-      return this.renewal(heartbeat, heartbeat.token, []);
+    if (mayRenew && this.mayExtendLease(term, heartbeat)) return this.extendLease(heartbeat);
     return this.redirect();
   }
 
   private respondAsLeader(term: LeaderTerm, heartbeat: Heartbeat): ApiResponse {
     const response = term.handleHeartbeat(heartbeat);
-    return response ? this.renewal(heartbeat, response.token, response.commands) : UNAVAILABLE;
+    if (!response) return UNAVAILABLE;
+    const { token, commands } = response;
+    return renewal(token, this.deps.cancellations.withStops(heartbeat, commands));
+  }
+
+  /** Renews the lease for the leader; the only commands are the stops of cancelled tasks. */
+  private extendLease(heartbeat: Heartbeat): ApiResponse {
+    const stops = this.deps.cancellations.withStops(heartbeat, []);
+    if (stops.length > 0) this.logStops(heartbeat, stops);
+    return renewal(heartbeat.token, stops);
+  }
+
+  private logStops({ machine }: Heartbeat, stops: WorkerCommand[]): void {
+    const some = stops
+      .slice(0, MAX_TASKS_IN_LOG)
+      .map(({ job, taskNumber }) => `${job}/${taskNumber}`);
+    const fields = { machine, tasks: stops.length, some };
+    this.deps.log.info(fields, 'stopping tasks of cancelled jobs for the leader');
   }
 
   /** Whether this node, which does not lead now, may extend the worker's lease. See lease-extension.ts. */
@@ -70,14 +89,13 @@
     return term.mayExtendWhileSuspended(heartbeat, uncontestedUntil);
   }
 
-  private renewal(heartbeat: Heartbeat, token: number, commands: WorkerCommand[]): ApiResponse {
-    const withStops = this.deps.cancellations.withStops(heartbeat, commands);
-    return { status: 200, body: heartbeatResponseBody(token, withStops) };
-  }
-
   private redirect(): ApiResponse {
     const leader = this.deps.leadership.leaderName();
     if (leader === null || leader === this.deps.self) return UNAVAILABLE;
     return { status: 421, body: redirectBody(leader) };
   }
 }
+
+function renewal(token: number, commands: WorkerCommand[]): ApiResponse {
+  return { status: 200, body: heartbeatResponseBody(token, commands) };
+}
--- a/test/cancellation-while-saving.test.ts
+++ b/test/cancellation-while-saving.test.ts
@@ -30,8 +30,10 @@
   seed: number,
   overrides: Partial<JobSubmission>,
   noticeMs = NOTICE_MS,
-): Promise<{ cluster: Cluster; job: ObservedJob }> {
-  const cluster = await clusterWithoutLoss({ seed, nodes: 5, ordinaryUp: 8 });
+): Promise<{ cluster: Cluster; job: ObservedJob; logged: Set<string> }> {
+  const logged = new Set<string>();
+  const log = (_node: string, text: string): unknown => logged.add(text);
+  const cluster = await clusterWithoutLoss({ seed, nodes: 5, ordinaryUp: 8, log });
   const job = submit(cluster, overrides);
   const tasks = job.spec.tasks;
   const isRunning = (): boolean => machinesOfJob(cluster, job).length === tasks;
@@ -41,7 +43,7 @@
     cluster.cloud.machines.get(machine)!.worker!.preemptionDeadline = cluster.clock.time + noticeMs;
   await cluster.run(4);
   assert.equal(machinesOfJob(cluster, job).length, tasks, 'all tasks save');
-  return { cluster, job };
+  return { cluster, job, logged };
 }
 
 /** Cancels the job, and asserts that its tasks are gone in time. */
@@ -67,11 +69,12 @@
 for (const [kind, overrides] of KINDS)
   for (const seed of [11, 12])
     test(`${kind} that is cancelled while its tasks save is gone in time although the leader crashes (${seed})`, async () => {
-      const { cluster, job } = await clusterWithSavingJob(seed, overrides);
+      const { cluster, job, logged } = await clusterWithSavingJob(seed, overrides);
       const leader = cluster.leader()!;
       cluster.crash(leader, 60_000);
       await cluster.run(0.3);
       await assertGoneInTime(cluster, job, otherNode(cluster, leader));
+      assert.ok(logged.has('stopping tasks of cancelled jobs for the leader'));
     });
 
 for (const [kind, overrides] of KINDS)
