--- a/test/duty-late-writes.test.ts
+++ b/test/duty-late-writes.test.ts
@@ -7,6 +7,29 @@
 import { DutyGroup } from './sim/duty-group.js';
 import { untilResolved, settledGroup, rentMachines } from './sim/duty-scenarios.js';
 
+/** Makes writes of intents within the next `forMs` milliseconds apply `byMs` later, without a response. */
+function delayIntentWrites(
+  group: DutyGroup,
+  { forMs, byMs }: { forMs: number; byMs: number },
+): void {
+  const until = group.clock.time + forMs;
+  group.state.lateWrites = { share: 1, until, byMs, prefix: 'duties/intents/' };
+}
+
+/** The provider takes this long for a request, so that it is in flight while a test acts. */
+const PROVIDER_DELAY_MS = 300;
+
+/** Opens a deletion with a slow provider, and waits until the intent is stored. */
+async function storedDeletion(
+  group: DutyGroup,
+  machine: string,
+): Promise<{ opened: ReturnType<DutyGroup['delete']> }> {
+  group.provider.delay = () => new Promise((done) => group.clock.after(PROVIDER_DELAY_MS, done));
+  const opened = group.delete('return', machine);
+  await group.until('the intent is stored', () => group.openIntentCount() > 0);
+  return { opened };
+}
+
 // A claim whose response was lost must be removed.
 test('claims that are applied late and without a response do not prevent a duty from being held', async () => {
   const group = new DutyGroup({ seed: 28 });
@@ -22,15 +45,8 @@
   const machines = await rentMachines(group, 2);
   const initialHolder = group.holder('return') ?? assert.fail();
   const tokenBefore = group.storedHolder('return')?.token ?? 0;
-  group.provider.delay = () => new Promise((done) => group.clock.after(300, done));
-  const opened = group.delete('return', machines[0]);
-  await group.until('the intent is stored', () => group.openIntentCount() > 0);
-  group.state.lateWrites = {
-    share: 1,
-    until: group.clock.time + 1000,
-    byMs: 9000,
-    prefix: 'duties/intents/',
-  };
+  const { opened } = await storedDeletion(group, machines[0]);
+  delayIntentWrites(group, { forMs: 1000, byMs: 9000 });
   await group.run(0.8);
   group.freeze(initialHolder, 8000);
   await untilResolved(group, opened);
@@ -44,12 +60,7 @@
 test('an intent of a former decider that is applied late is not stored', async () => {
   const group = await settledGroup(22);
   const machines = await rentMachines(group, 1);
-  group.state.lateWrites = {
-    share: 1,
-    until: group.clock.time + 500,
-    byMs: 6000,
-    prefix: 'duties/intents/',
-  };
+  delayIntentWrites(group, { forMs: 500, byMs: 6000 });
   const opened = group.delete('return', machines[0]);
   await group.run(0.4);
   group.replaceDecider();
@@ -64,12 +75,7 @@
 test('an intent whose write gets no response is stored once, and the decider learns its outcome', async () => {
   const group = await settledGroup(23);
   const machines = await rentMachines(group, 1);
-  group.state.lateWrites = {
-    share: 1,
-    until: group.clock.time + 500,
-    byMs: 3000,
-    prefix: 'duties/intents/',
-  };
+  delayIntentWrites(group, { forMs: 500, byMs: 3000 });
   assert.equal((await untilResolved(group, group.delete('return', machines[0]))).kind, 'resolved');
   await group.run(20);
   assert.equal(group.provider.machines.size, 0);
@@ -82,15 +88,8 @@
   const group = await settledGroup(29);
   const machines = await rentMachines(group, 1);
   const initialHolder = group.holder('return') ?? assert.fail();
-  group.provider.delay = () => new Promise((done) => group.clock.after(300, done));
-  const opened = group.delete('return', machines[0]);
-  await group.until('the intent is stored', () => group.openIntentCount() > 0);
-  group.state.lateWrites = {
-    share: 1,
-    until: group.clock.time + 1000,
-    byMs: 6000,
-    prefix: 'duties/intents/',
-  };
+  const { opened } = await storedDeletion(group, machines[0]);
+  delayIntentWrites(group, { forMs: 1000, byMs: 6000 });
   await group.run(0.8);
   group.freeze(initialHolder, 20_000);
   group.provider.failure = { unavailable: true, dropsResponses: false };
@@ -105,15 +104,8 @@
 test('a late copy of the resolving write does not restore an intent that was cleaned up', async () => {
   const group = await settledGroup(30);
   const machines = await rentMachines(group, 1);
-  group.provider.delay = () => new Promise((done) => group.clock.after(300, done));
-  const opened = group.delete('return', machines[0]);
-  await group.until('the intent is stored', () => group.openIntentCount() > 0);
-  group.state.lateWrites = {
-    share: 1,
-    until: group.clock.time + 600,
-    byMs: 25_000,
-    prefix: 'duties/intents/',
-  };
+  const { opened } = await storedDeletion(group, machines[0]);
+  delayIntentWrites(group, { forMs: 600, byMs: 25_000 });
   await untilResolved(group, opened);
   await group.run(40);
   assert.equal(group.state.history('duties/intents/i-2').length, 2, 'opened and resolved');
--- a/test/gang-capacity.test.ts
+++ b/test/gang-capacity.test.ts
@@ -4,12 +4,15 @@
 import { clusterWithoutLoss, machinesOfJob, submit, runUntil } from './sim/gang-scenarios.js';
 import { BATCH, SERVICE, GANG } from './sim/jobs.js';
 
+/** A limit that no team reaches. */
+const UNLIMITED_TEAMS = { teamLimit: 1000 };
+
 test('a starting gang that cannot replace a lost task releases its capacity to other jobs at once', async () => {
   const cluster = await clusterWithoutLoss({
+    ...UNLIMITED_TEAMS,
     seed: 18,
     capacity: 0,
     ordinaryUp: 2,
-    teamLimit: 1000,
   });
   // Fetches take up to two minutes: unless they are stopped, the remaining tasks would stay for a long time.
   const job = submit(cluster, {
@@ -34,10 +37,10 @@
     [9000, 14],
   ] as const) {
     const cluster = await clusterWithoutLoss({
+      ...UNLIMITED_TEAMS,
       seed: 17,
       capacity: 0,
       ordinaryUp: 2,
-      teamLimit: 1000,
     });
     const job = submit(cluster, {
       ...GANG,
@@ -62,10 +65,10 @@
 
 test('a large gang starts although smaller jobs keep arriving', async () => {
   const cluster = await clusterWithoutLoss({
+    ...UNLIMITED_TEAMS,
     seed: 5,
     capacity: 1,
     ordinaryUp: 2,
-    teamLimit: 1000,
   });
   for (let i = 0; i < 20; i++) submit(cluster, { ...BATCH, tasks: 8, durationS: 4 });
   await cluster.run(8);
@@ -124,10 +127,10 @@
 
 test('gangs that together need more capacity than there is never occupy it partially, and all are done one after another', async () => {
   const cluster = await clusterWithoutLoss({
+    ...UNLIMITED_TEAMS,
     seed: 6,
     capacity: 1,
     ordinaryUp: 2,
-    teamLimit: 1000,
   });
   const jobs = Array.from({ length: 8 }, () =>
     submit(cluster, { ...GANG, tasks: 4, cpus: 3, durationS: 3 }),
@@ -144,10 +147,10 @@
 
 test('a gang restricted to one zone is placed where all of it fits, not where its image is', async () => {
   const cluster = await clusterWithoutLoss({
+    ...UNLIMITED_TEAMS,
     seed: 8,
     capacity: 1,
     ordinaryUp: 3,
-    teamLimit: 1000,
   });
   assert.equal(
     [...cluster.cloud.machines.values()].filter((m) => m.zone === 'b' && !m.spot).length,
@@ -164,10 +167,10 @@
 
 test('arrays leave ordinary capacity to the next gang, but not forever', async () => {
   const cluster = await clusterWithoutLoss({
+    ...UNLIMITED_TEAMS,
     seed: 9,
     capacity: 2,
     ordinaryUp: 4,
-    teamLimit: 1000,
     minimizeCost: true,
   });
   submit(cluster, { ...GANG, tasks: 6 });
