--- a/test/stop-request.test.ts
+++ b/test/stop-request.test.ts
@@ -60,6 +60,7 @@
         if (pending) assert.ok(isSameOrStricter(pending, after));
         if (discardsProgress(next.reason)) assert.equal(after.graceS, 0);
         else if (pending) assert.equal(after.graceS, pending.graceS);
+        if (!next.replaced) assert.equal(after.replaced, false, 'a stop of the whole gang');
         pending = after;
       }
     }),
