Keep machines whose tasks need no CPUs

Cause: the autoscaler took the sum of the CPUs in use for whether tasks are on a machine (`isIdle`), and the sum of the CPUs asked for for whether there is work (`deleteAllIdle`, `scalingTargets`).

A machine is idle now if it has shown the leader's token and no attempt may be on it; there is work while any task waits or runs. The simulated cluster checks at each return that no task is on the machines (`returned`); for this the log line tells the purpose of a deletion.

--- a/src/autoscaler/demand.ts
+++ b/src/autoscaler/demand.ts
@@ -36,6 +36,7 @@
   return {
     ordinaryCpus,
     spotEligibleCpus,
+    hasWork: live.some((job) => job.attempts.size + job.pending() > 0),
     isUsable: (type) => live.some(({ spec }) => fitsType(spec, type)),
     arrivingCpusPerS,
     bootS: BOOT_TIME_FACTOR * Math.max(...types.map((type) => type.bootS)),
--- a/src/autoscaler/machine-deletion.ts
+++ b/src/autoscaler/machine-deletion.ts
@@ -4,6 +4,9 @@
 import type { MachineTable } from '../workers/machine-table.js';
 import type { DeletionPurpose, MachineActions } from './machine-actions.js';
 
+/** Text of the log line of each deletion; `purpose` is one of its fields. */
+export const DELETING_MACHINES = 'deleting machines';
+
 /** Dependencies of machine deletion on the leader. */
 export interface MachineDeletionDependencies {
   runtime: Runtime;
@@ -40,7 +43,7 @@
     const batch = candidates.slice(0, limit);
     if (batch.length === 0 || !actions.tryAcquireCall() || !this.deps.isLeader()) return;
     const ids = batch.map((machine) => machine.id);
-    runtime.log.info({ ids, why }, 'deleting machines');
+    runtime.log.info({ ids, purpose, why }, DELETING_MACHINES);
     for (const machine of batch) machine.deleting = true;
     await this.settle(batch, actions.deleteMachines(ids, purpose));
   }
--- a/src/autoscaler/scale-in.ts
+++ b/src/autoscaler/scale-in.ts
@@ -15,8 +15,6 @@
 
 /** Without `minimizeCost`: how long a machine must be idle, while the cluster has no work, before it is deleted. */
 const IDLE_TIMEOUT_WITHOUT_WORK_MS = 30_000;
-/** Maximum rounding error of a sum of CPU shares. */
-const CPU_ROUNDING = 1e-6;
 
 /**
  * With `minimizeCost`, deletes surplus machines once they are empty; otherwise deletes machines only if there is no
@@ -30,11 +28,11 @@
 
   /**
    * With `minimizeCost`, marks surplus machines and starts to delete those that have been idle for long enough.
-   * Otherwise deletes all machines that have been idle for long enough, but only if there is no demand.
+   * Otherwise deletes all machines that have been idle for long enough, but only if there is no work.
    */
   deleteIdle(demand: Demand, now: number): void {
     if (this.deps.minimizeCost) this.deleteSurplus(demand, now);
-    else if (demand.ordinaryCpus + demand.spotEligibleCpus === 0) this.deleteAllIdle(now);
+    else if (!demand.hasWork) this.deleteAllIdle(now);
   }
 
   private deleteSurplus(demand: Demand, now: number): void {
@@ -61,6 +59,12 @@
   }
 }
 
+/**
+ * Whether the machine has reported the required token and no task has been on it for `timeoutMs`. What a task uses does
+ * not matter: it may need no CPUs.
+ */
 function isIdle(machine: Machine, timeoutMs: number, now: number): boolean {
-  return machine.usedCpus < CPU_ROUNDING && now - machine.emptySince > timeoutMs;
+  if (!machine.isReconciled() || now - machine.emptySince <= timeoutMs) return false;
+  for (const attempt of machine.attempts.values()) if (attempt.mayBeOnMachine()) return false;
+  return true;
 }
--- a/src/autoscaler/scaling-plan.ts
+++ b/src/autoscaler/scaling-plan.ts
@@ -27,6 +27,8 @@
   bootS: number;
   /** CPUs of the largest machine type. */
   largestMachineCpus: number;
+  /** Whether any task waits or runs, also if all such tasks need no CPUs. */
+  hasWork: boolean;
   /** Whether a task of some job fits the type. Other types are not requested. */
   isUsable(type: MachineType): boolean;
 }
@@ -67,8 +69,7 @@
 ): ScalingTargets {
   const { ordinaryCpus, spotEligibleCpus } = demand;
   if (!minimizeCost) {
-    const hasWork = ordinaryCpus > 0 || spotEligibleCpus > 0;
-    const cpus = hasWork
+    const cpus = demand.hasWork
       ? FREE_CAPACITY_FACTOR * (ordinaryCpus + spotEligibleCpus) + FREE_CAPACITY_EXTRA_CPUS
       : 0;
     return { ordinaryCpus: cpus, totalCpus: cpus };
--- a/test/invariants.test.ts
+++ b/test/invariants.test.ts
@@ -113,3 +113,12 @@
     assert.equal(invariants.violations.length > 0, waits, `${tasks} tasks`);
   }
 });
+
+test('returning a machine with a task on it is a violation', () => {
+  const { invariants } = withJob({ tasks: 1, cpus: 0 });
+  invariants.taskStarted(`${JOB.id}/0`, place('m1'));
+  invariants.checkReturned(['m2']);
+  assert.deepEqual(invariants.violations, []);
+  invariants.checkReturned(['m1']);
+  assert.equal(invariants.violations.length, 1);
+});
--- a/test/scaling-plan.test.ts
+++ b/test/scaling-plan.test.ts
@@ -21,6 +21,7 @@
     arrivingCpusPerS: 0,
     bootS: 25,
     largestMachineCpus: 32,
+    hasWork: true,
     isUsable: () => true,
   };
   const plan = planScaleOut({ pools, demand, minimizeCost: true, spareShare: 0, now: 10 });
--- a/test/sim/autoscaler-harness.ts
+++ b/test/sim/autoscaler-harness.ts
@@ -71,6 +71,7 @@
         arrivingCpusPerS: 0,
         bootS: 20,
         largestMachineCpus: 8,
+        hasWork: this.demand > 0,
         isUsable: () => true,
       }),
       zonesOutOfContact: () => new Set(),
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -1,6 +1,7 @@
 /** A simulated cluster in virtual time: controllers (also called nodes), state service, cloud, workers and users. */
 import type { Build } from '@millring/rollout';
 import { BUILD } from '../../src/build.js';
+import { DELETING_MACHINES } from '../../src/autoscaler/machine-deletion.js';
 import { ControllerNode } from '../../src/node.js';
 import { TEAM_USAGE_VIOLATION } from '../../src/placement/usage-audit.js';
 import type { Log } from '../../src/runtime.js';
@@ -157,7 +158,10 @@
   private logOf(name: string): Log {
     return {
       ...quietLog,
-      info: (fields, text) => this.config.log?.(name, text, fields),
+      info: (fields, text) => {
+        this.checkReturned(text, fields);
+        this.config.log?.(name, text, fields);
+      },
       error: (fields, text) => {
         if (text === TEAM_USAGE_VIOLATION)
           throw new Error(`${name}: ${text}: ${JSON.stringify(fields)}`);
@@ -165,6 +169,11 @@
     };
   }
 
+  private checkReturned(text: string, fields: object): void {
+    if (text !== DELETING_MACHINES || !('purpose' in fields) || fields.purpose !== 'return') return;
+    if ('ids' in fields) this.invariants.checkReturned(fields.ids as string[]);
+  }
+
   startNode(name: string): void {
     const process = { name, alive: true, frozenUntil: 0 };
     const processClock = this.clock.processClock(
--- a/test/sim/invariants.ts
+++ b/test/sim/invariants.ts
@@ -222,6 +222,13 @@
       this.recordViolation('waits', id);
   }
 
+  /** Checks that no task is on any of these machines, which a controller returns because they are idle. */
+  checkReturned(machines: readonly string[]): void {
+    for (const [task, places] of this.placesByTask)
+      for (const { machine } of places)
+        if (machines.includes(machine)) this.recordViolation('returned', `${machine} with ${task}`);
+  }
+
   /** Checks the service level; see `unservedJobs`. */
   checkServed(): void {
     for (const unserved of unservedJobs(this.jobs.values(), this.now()))
