Rent machines for tasks that no machine has room for

Cause: renting and returning compare sums of CPUs, over all jobs and all machines; placement asks for a machine on which the task may be. Wherever the sum sufficed, a task without such a machine waited for ever.

Change: each second, the waiting tasks that the teams' limits allow to start are grouped by what they require (`groupWaitingTasks`, on placement's own constraints). Groups that no machine, up, booting or requested, could take even if it were empty, and those that have started nothing for 10 s, are assigned to the room there is, surplus machines last. Machines are requested for what remains (`provideForWaiting`), and those with room for them are no surplus. Types and zones that no job may use are neither requested nor counted as capacity, in renting and in marking surplus alike.

The simulated cluster now checks the twin of the rule on waiting: no job waits for 90 s while the cloud would rent a machine that fits (`waits_for_machine`). Workers refuse tasks for lack of memory and GPUs too.

--- a/src/autoscaler/autoscaler.ts
+++ b/src/autoscaler/autoscaler.ts
@@ -1,4 +1,5 @@
 /** Adapts the number of machines to the demand and replaces dead machines. */
+import type { WaitingTasks } from '../placement/waiting-tasks.js';
 import type { Runtime } from '../runtime.js';
 import type { Machine } from '../workers/machine.js';
 import { hasBootTimedOut } from './boot-timeout.js';
@@ -25,6 +26,8 @@
   heartbeatIntervalS: number;
   /** Current resource demand of the jobs. */
   demand(): Demand;
+  /** The waiting tasks that could start now if machines had room for them. */
+  waitingTasks(): WaitingTasks[];
 }
 
 const PLANNING_INTERVAL_MS = 1000;
@@ -142,7 +145,7 @@
       },
       'demand and capacity',
     );
-    this.scaleOut.requestMissing(demand, now);
-    this.scaleIn.deleteIdle(demand, now);
+    const neededMachines = this.scaleOut.requestMissing(demand, this.deps.waitingTasks(), now);
+    this.scaleIn.deleteIdle(demand, neededMachines, now);
   }
 }
--- a/src/autoscaler/scale-in.ts
+++ b/src/autoscaler/scale-in.ts
@@ -28,17 +28,19 @@
 
   /**
    * With `minimizeCost`, marks surplus machines and starts to delete those that have been idle for long enough.
-   * Otherwise deletes all machines that have been idle for long enough, but only if there is no work.
+   * Otherwise deletes all machines that have been idle for long enough, but only if there is no work. Waiting tasks need
+   * the room on `neededMachines`.
    */
-  deleteIdle(demand: Demand, now: number): void {
-    if (this.deps.minimizeCost) this.deleteSurplus(demand, now);
+  deleteIdle(demand: Demand, neededMachines: ReadonlySet<Machine>, now: number): void {
+    if (this.deps.minimizeCost) this.deleteSurplus(demand, neededMachines, now);
     else if (!demand.hasWork) this.deleteAllIdle(now);
   }
 
-  private deleteSurplus(demand: Demand, now: number): void {
+  private deleteSurplus(demand: Demand, neededMachines: ReadonlySet<Machine>, now: number): void {
     const { operator } = this.deps;
     const machines = this.machinesUp();
-    markSurplus(machines, scalingTargets(demand, true, operator.spare_share), now);
+    const targets = scalingTargets(demand, true, operator.spare_share);
+    markSurplus(machines, { targets, demand, neededMachines, now });
     const idle = machines.filter(
       (machine) =>
         machine.drainReason === 'surplus' && isIdle(machine, operator.idle_return_s * 1000, now),
--- a/src/autoscaler/scale-out.ts
+++ b/src/autoscaler/scale-out.ts
@@ -1,5 +1,7 @@
 /** Requests machines from the cloud according to the scaling plan. */
 import type { OperatorSettings } from '../settings/operator.js';
+import { MAX_MACHINES_PER_REQUEST } from '@millring/duties';
+import type { WaitingTasks } from '../placement/waiting-tasks.js';
 import type { Runtime } from '../runtime.js';
 import type { MachineType } from '../wire/model.js';
 import type { Machine } from '../workers/machine.js';
@@ -9,6 +11,7 @@
 import type { MachineDeletion } from './machine-deletion.js';
 import type { MachineLiveness } from './machine-liveness.js';
 import { type Demand, type Pool, planScaleOut } from './scaling-plan.js';
+import { type ProvisionForWaiting, provideForWaiting } from './unschedulable-tasks.js';
 import type { ZonePartitions } from './zone-partitions.js';
 
 /** Dependencies of scaling out on the leader and its settings. */
@@ -38,7 +41,10 @@
 /** Manages the pools that machines are requested from, with at most one pending request for each pool. */
 export class ScaleOut {
   private readonly pools = new Map<string, Pool>();
-  private readonly pendingRequests = new Set<Pool>();
+  /** Number of machines in the pending request, by pool. */
+  private readonly pendingRequests = new Map<Pool, number>();
+  /** The machines that the last `updatePools` counted. */
+  private machines: Machine[] = [];
 
   constructor(
     private readonly deps: ScaleOutDependencies,
@@ -62,9 +68,12 @@
   /** Recounts the machines of each pool, and blocks the pools of quarantined zones for `blockMs`. */
   updatePools(now: number, blockMs: number): Capacity {
     for (const pool of this.pools.values()) pool.machineCount = 0;
-    for (const machine of this.deps.table.all()) {
+    this.machines = [...this.deps.table.all()].filter((machine) =>
+      this.countsAsCapacity(machine, now),
+    );
+    for (const machine of this.machines) {
       const pool = this.pools.get(poolKey(machine.type.name, machine.zone, machine.spot));
-      if (pool && this.countsAsCapacity(machine, now)) pool.machineCount++;
+      if (pool) pool.machineCount++;
     }
     const capacity: Capacity = { ordinaryCpus: 0, spotCpus: 0 };
     for (const pool of this.pools.values()) {
@@ -77,8 +86,15 @@
     return capacity;
   }
 
-  /** Requests the machines that the demand needs beyond those counted by the last `updatePools`. */
-  requestMissing(demand: Demand, now: number): void {
+  /**
+   * Requests the machines that the demand needs beyond those counted by the last `updatePools`, and machines for waiting
+   * tasks that neither have room for. Returns the machines whose room waiting tasks need.
+   */
+  requestMissing(
+    demand: Demand,
+    waiting: readonly WaitingTasks[],
+    now: number,
+  ): ReadonlySet<Machine> {
     const { minimizeCost, operator } = this.deps;
     const plan = planScaleOut({
       pools: [...this.pools.values()],
@@ -87,8 +103,36 @@
       spareShare: operator.spare_share,
       now,
     });
-    for (const [pool, count] of plan)
-      if (!this.pendingRequests.has(pool)) void this.request(pool, count);
+    for (const pool of this.pendingRequests.keys()) plan.delete(pool);
+    const provision = this.provideFor(waiting, plan, now);
+    for (const [pool, count] of provision.requests)
+      plan.set(pool, Math.min(MAX_MACHINES_PER_REQUEST, (plan.get(pool) ?? 0) + count));
+    for (const [pool, count] of plan) void this.request(pool, count);
+    return provision.neededMachines;
+  }
+
+  private provideFor(
+    waiting: readonly WaitingTasks[],
+    plan: ReadonlyMap<Pool, number>,
+    now: number,
+  ): ProvisionForWaiting {
+    const { minimizeCost, runtime } = this.deps;
+    const provision = provideForWaiting({
+      waiting,
+      machines: this.machines,
+      requested: new Map([...this.pendingRequests, ...plan]),
+      pools: [...this.pools.values()].filter(
+        (pool) => pool.unavailableUntil <= now && !this.pendingRequests.has(pool),
+      ),
+      minimizeCost,
+      now,
+    });
+    if (provision.requests.size > 0)
+      runtime.log.info(
+        { tasks: Object.fromEntries(provision.unschedulable) },
+        'requesting machines for unschedulable tasks',
+      );
+    return provision;
   }
 
   /** Tracks a request of a former leader. Until its result is known, nothing more is requested from that pool. */
@@ -123,7 +167,7 @@
     pending: Promise<MachineRequestResult>,
   ): Promise<void> {
     const { clock, log } = this.deps.runtime;
-    this.pendingRequests.add(pool);
+    this.pendingRequests.set(pool, count);
     const result = await pending;
     this.pendingRequests.delete(pool);
     const now = clock.now();
--- a/src/autoscaler/scaling-plan.ts
+++ b/src/autoscaler/scaling-plan.ts
@@ -29,8 +29,8 @@
   largestMachineCpus: number;
   /** Whether any task waits or runs, also if all such tasks need no CPUs. */
   hasWork: boolean;
-  /** Whether a task of some job fits the type. Other types are not requested. */
-  isUsable(type: MachineType): boolean;
+  /** Whether a task of some job may be in the zone on a machine of the type. No others are requested or kept. */
+  isUsable(type: MachineType, zone: string): boolean;
 }
 
 /** Input of `planScaleOut`. */
@@ -97,6 +97,31 @@
   return [...counts].reduce((sum, [pool, count]) => sum + count * pool.type.cpus, 0);
 }
 
+/** What the choice between pools depends on. */
+export interface PoolPreference {
+  /** Price of what is needed if the pool provides it, in the same unit for all pools; 0 if cost does not matter. */
+  price(pool: Pool): number;
+  /** Whether pools of the same price for which this is false come first. */
+  isLessPreferred(pool: Pool): boolean;
+  /** Number of machines that the pool has or is about to have. */
+  machineCount(pool: Pool): number;
+}
+
+/** Orders pools by preference: the cheapest first, then those with the fewest machines, then the largest machines. */
+export function comparePools(preference: PoolPreference, left: Pool, right: Pool): number {
+  return (
+    preference.price(left) - preference.price(right) ||
+    Number(preference.isLessPreferred(left)) - Number(preference.isLessPreferred(right)) ||
+    preference.machineCount(left) - preference.machineCount(right) ||
+    right.type.cpus - left.type.cpus
+  );
+}
+
+/** Price of one of the pool's machines per hour. */
+export function machinePrice({ spot, type }: Pool): number {
+  return spot ? type.spotPrice : type.price;
+}
+
 /**
  * Spreads `missingCpus` over the pools. With `minimizeCost`, the cheapest pools come first. Next come zones with
  * controllers, each up to half of `targetCpus`, since replicas are spread; then the pools with the fewest machines.
@@ -114,19 +139,14 @@
   const cpusIn = (zone: string): number => zoneCpus.get(zone) ?? 0;
   for (const { zone, machineCount, type } of pools)
     zoneCpus.set(zone, cpusIn(zone) + machineCount * type.cpus);
-  const pricePerCpu = ({ spot, type }: Pool): number =>
-    minimizeCost ? (spot ? type.spotPrice : type.price) / type.cpus : 0;
-  const isLessPreferred = (pool: Pool): boolean =>
-    pool.spot || !pool.hasControllers || cpusIn(pool.zone) >= targetCpus / 2;
-  const machinesOf = (pool: Pool): number => pool.machineCount + (counts.get(pool) ?? 0);
+  const preference: PoolPreference = {
+    price: (pool) => (minimizeCost ? machinePrice(pool) / pool.type.cpus : 0),
+    isLessPreferred: (pool) =>
+      pool.spot || !pool.hasControllers || cpusIn(pool.zone) >= targetCpus / 2,
+    machineCount: (pool) => pool.machineCount + (counts.get(pool) ?? 0),
+  };
   for (let missing = missingCpus; missing > 0 && available.length > 0;) {
-    available.sort(
-      (a, b) =>
-        pricePerCpu(a) - pricePerCpu(b) ||
-        Number(isLessPreferred(a)) - Number(isLessPreferred(b)) ||
-        machinesOf(a) - machinesOf(b) ||
-        b.type.cpus - a.type.cpus,
-    );
+    available.sort((a, b) => comparePools(preference, a, b));
     const [pool] = available;
     const count = (counts.get(pool) ?? 0) + 1;
     counts.set(pool, count);
@@ -140,7 +160,7 @@
 /** Returns how many machines to request from each pool now, at most as many as one request may ask for. */
 export function planScaleOut(input: ScaleOutInput): Map<Pool, number> {
   const { demand, now, minimizeCost } = input;
-  const usable = input.pools.filter((pool) => demand.isUsable(pool.type));
+  const usable = input.pools.filter((pool) => demand.isUsable(pool.type, pool.zone));
   const ordinary = usable.filter((pool) => !pool.spot);
   const spot = usable.filter((pool) => pool.spot);
   const { ordinaryCpus, totalCpus } = scalingTargets(demand, minimizeCost, input.spareShare);
--- a/src/leadership/leader-autoscaler.ts
+++ b/src/leadership/leader-autoscaler.ts
@@ -6,6 +6,7 @@
 import type { Demand } from '../autoscaler/scaling-plan.js';
 import { IntentActions } from '../duties/intent-actions.js';
 import { shouldMinimizeCost } from '../settings/cost-policy.js';
+import type { WaitingTasks } from '../placement/waiting-tasks.js';
 import type { Machine } from '../workers/machine.js';
 import type { MachineTable } from '../workers/machine-table.js';
 import type { LeaderTermDependencies } from './leader-term-dependencies.js';
@@ -21,6 +22,7 @@
   grants: LeaseExtensionGrants;
   leaseExtensionMs: number;
   demand(): Demand;
+  waitingTasks(): WaitingTasks[];
   /** Whether this controller lags, so that heartbeats that seem to be missing may just be unread. */
   isLagging(): boolean;
   /** Called when the machine no longer exists, and therefore none of the tasks on it. */
@@ -47,6 +49,7 @@
     listLagS: settings.listLagS,
     isLeader: () => lifecycle.isLeader(),
     demand: () => context.demand(),
+    waitingTasks: () => context.waitingTasks(),
     zonesOutOfContact: () => partitionedZones(settings, grants, runtime.clock.now()),
     leasesExtendableUntil: (zone) =>
       zoneLeasesExtendableUntil(zone, settings, grants, leaseExtensionMs),
--- a/src/leadership/leader-components.ts
+++ b/src/leadership/leader-components.ts
@@ -2,9 +2,7 @@
 import type { IntentLog } from '@millring/duties';
 import type { Autoscaler } from '../autoscaler/autoscaler.js';
 import { demandOf } from '../autoscaler/demand.js';
-import type { Demand } from '../autoscaler/scaling-plan.js';
 import { CompletionWriter } from '../jobs/completion-writer.js';
-import type { Job } from '../jobs/job.js';
 import { JobTable } from '../jobs/job-table.js';
 import { Placement } from '../placement/placement.js';
 import { allocateSockets } from '../http/socket-allocation.js';
@@ -187,7 +185,8 @@
       intentLog: this.intentLog,
       grants: this.grants,
       leaseExtensionMs: this.leaseExtensionMs,
-      demand: () => this.demand(),
+      demand: () => demandOf(this.jobs.all(), this.placement, this.deps.types),
+      waitingTasks: () => this.placement.waitingTasks(),
       isLagging: () => this.eventLoopLag.isLagging(clock.now()) || this.sender.isCongested(),
       machineDeleted: (machine) => {
         this.forgetMachine(machine);
@@ -195,16 +194,6 @@
     });
   }
 
-  private demand(): Demand {
-    const wantedCpus = (job: Job): number => this.placement.wantedCpus(job);
-    return demandOf(
-      this.jobs.all(),
-      wantedCpus,
-      this.placement.serviceCpusPerSecond(),
-      this.deps.types,
-    );
-  }
-
   private forgetMachine(machine: Machine): void {
     this.table.remove(machine, this.deps.runtime.clock.now());
     this.machineRecords.removeRecord(machine);
--- a/src/placement/gang-capacity.ts
+++ b/src/placement/gang-capacity.ts
@@ -1,27 +1,17 @@
 /** Computes how many tasks of a gang fit into the free capacity of one machine, a zone or all. Pure functions. */
 import type { Job } from '../jobs/job.js';
 import type { Machine } from '../workers/machine.js';
-import { ROUNDING_TOLERANCE } from './resources.js';
-
-function wholeTasks(free: number, perTask: number): number {
-  return perTask > 0 ? Math.floor(free / perTask + ROUNDING_TOLERANCE) : Infinity;
-}
+import { taskSlots } from './machine-constraints.js';
 
 /** Number of the job's tasks that fit into the machine's free capacity, at most the number of tasks of the job. */
-function taskSlots(job: Job, machine: Machine): number {
-  const { cpus, gpus, memoryGb, tasks } = job.spec;
-  const slots = Math.min(
-    wholeTasks(machine.freeCpus(), cpus),
-    wholeTasks(machine.freeGpus(), gpus),
-    wholeTasks(machine.freeMemory(), memoryGb),
-    tasks,
-  );
-  return Math.max(0, slots);
+function slotsOn({ spec }: Job, machine: Machine): number {
+  const slots = taskSlots(spec, machine.freeCpus(), machine.freeGpus(), machine.freeMemory());
+  return Math.min(slots, spec.tasks);
 }
 
-/** The sum of `taskSlots` over the machines. */
+/** The sum of `slotsOn` over the machines. */
 export function totalTaskSlots(job: Job, machines: Machine[]): number {
-  return machines.reduce((sum, machine) => sum + taskSlots(job, machine), 0);
+  return machines.reduce((sum, machine) => sum + slotsOn(job, machine), 0);
 }
 
 interface ZoneCapacity {
@@ -39,7 +29,7 @@
   const zones = new Map<string, ZoneCapacity>();
   for (const machine of machines) {
     const zone = zones.get(machine.zone) ?? { machines: [], slots: 0, warmSlots: 0 };
-    const slots = taskSlots(job, machine);
+    const slots = slotsOn(job, machine);
     zone.machines.push(machine);
     zone.slots += slots;
     if (!machine.isStraggler && machine.images.has(job.spec.image)) zone.warmSlots += slots;
--- a/src/placement/machine-constraints.ts
+++ b/src/placement/machine-constraints.ts
@@ -1,14 +1,21 @@
 /** Hard constraints on the machines of a job's tasks: types, zones, spot machines and free capacity. Pure functions. */
 import type { Job } from '../jobs/job.js';
-import type { JobSpec } from '../wire/model.js';
+import type { JobSpec, MachineType } from '../wire/model.js';
 import type { Machine } from '../workers/machine.js';
-import { ROUNDING_TOLERANCE } from './resources.js';
+import { ROUNDING_TOLERANCE, wholeTasks } from './resources.js';
 
 /** Returns true if the zone may take another task of a job. */
 export type ZoneFilter = (zone: string) => boolean;
 
+/** The properties of a machine, or of all machines of a pool, that jobs may restrict. */
+export interface MachinePlace {
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
 /** Whether the machine meets the job's requirements, regardless of free capacity and of the job's other tasks. */
-export function satisfiesConstraints(spec: JobSpec, machine: Machine): boolean {
+export function satisfiesConstraints(spec: JobSpec, machine: MachinePlace): boolean {
   return (
     (spec.types === null || spec.types.includes(machine.type.name)) &&
     (spec.zone === null || spec.zone === machine.zone) &&
@@ -16,31 +23,44 @@
   );
 }
 
+/** Number of the job's tasks that may be on machines, by zone. */
+export function tasksPerZone(job: Job): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const attempts of job.attempts.values())
+    for (const { machine } of attempts)
+      counts.set(machine.zone, (counts.get(machine.zone) ?? 0) + 1);
+  return counts;
+}
+
+/** Number of further tasks of a job that may be placed in the zone beside its other tasks; `Infinity`: no limit. */
+export function tasksAllowedInZone(
+  spec: JobSpec,
+  otherTasksPerZone: ReadonlyMap<string, number>,
+  zone: string,
+): number {
+  if (spec.oneZone && otherTasksPerZone.size > 0)
+    if (otherTasksPerZone.size > 1 || !otherTasksPerZone.has(zone)) return 0;
+  if (!spec.spread) return Infinity;
+  const maxPerZone = Math.ceil(spec.tasks / 2);
+  return Math.max(0, maxPerZone - (otherTasksPerZone.get(zone) ?? 0));
+}
+
 /**
  * Filter of the zones that the job's other tasks leave open, counting all tasks that may still be on machines. Returns
  * null if any zone is open.
  */
 export function zoneFilter(job: Job): ZoneFilter | null {
   if (!job.spec.spread && !job.spec.oneZone) return null;
-  const tasksPerZone = new Map<string, number>();
-  for (const attempts of job.attempts.values())
-    for (const { machine } of attempts)
-      tasksPerZone.set(machine.zone, (tasksPerZone.get(machine.zone) ?? 0) + 1);
-  return zoneFilterFor(job.spec, tasksPerZone);
+  return zoneFilterFor(job.spec, tasksPerZone(job));
 }
 
 /** Like `zoneFilter`, over a count that the caller maintains; the filter reads the present count at each call. */
 export function zoneFilterFor(
   spec: JobSpec,
-  tasksPerZone: ReadonlyMap<string, number>,
+  otherTasksPerZone: ReadonlyMap<string, number>,
 ): ZoneFilter | null {
   if (!spec.spread && !spec.oneZone) return null;
-  const maxPerZone = Math.ceil(spec.tasks / 2);
-  return (zone) => {
-    if (spec.oneZone && tasksPerZone.size > 0)
-      if (tasksPerZone.size > 1 || !tasksPerZone.has(zone)) return false;
-    return !spec.spread || (tasksPerZone.get(zone) ?? 0) + 1 <= maxPerZone;
-  };
+  return (zone) => tasksAllowedInZone(spec, otherTasksPerZone, zone) > 0;
 }
 
 /** Key of the zones closed to the job: jobs of the same shape with the same key may use the same zones. */
@@ -62,3 +82,13 @@
     memoryGb + ROUNDING_TOLERANCE >= spec.memoryGb
   );
 }
+
+/** Number of tasks that fit into these amounts together; memory is in GB. `Infinity` if a task takes nothing. */
+export function taskSlots(spec: JobSpec, cpus: number, gpus: number, memoryGb: number): number {
+  const slots = Math.min(
+    wholeTasks(cpus, spec.cpus),
+    wholeTasks(gpus, spec.gpus),
+    wholeTasks(memoryGb, spec.memoryGb),
+  );
+  return Math.max(0, slots);
+}
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -33,6 +33,7 @@
 import { TeamUsage } from './team-usage.js';
 import { UsableMachines } from './usable-machines.js';
 import { UsageAudit } from './usage-audit.js';
+import { type WaitingTasks, groupWaitingTasks } from './waiting-tasks.js';
 
 /** Dependencies of `Placement`, supplied by the leader. */
 export interface PlacementDependencies {
@@ -185,6 +186,18 @@
     return this.demand.serviceCpusPerSecond();
   }
 
+  /** The waiting tasks that could start now if machines had room for them. */
+  waitingTasks(): WaitingTasks[] {
+    const { jobs, runtime } = this.deps;
+    const now = runtime.clock.now();
+    return groupWaitingTasks(jobs.all(), {
+      usage: this.usage,
+      recoveryComplete: this.deps.recoveryComplete(),
+      headroomCpus: (job) => this.reservations.serviceHeadroom(job, now),
+      now,
+    });
+  }
+
   // Periodic work.
 
   /** Starts all tasks that can start. Returns true if it stopped early, so that another cycle should follow soon. */
--- a/src/placement/resources.ts
+++ b/src/placement/resources.ts
@@ -21,3 +21,8 @@
 export function scaleResources(amount: Resources, factor: number): Resources {
   return { cpus: amount.cpus * factor, gpus: amount.gpus * factor };
 }
+
+/** Number of tasks that fit into an amount of which each takes `perTask`; `Infinity` if they take nothing. */
+export function wholeTasks(available: number, perTask: number): number {
+  return perTask > 0 ? Math.floor(available / perTask + ROUNDING_TOLERANCE) : Infinity;
+}
--- a/src/placement/team-usage.ts
+++ b/src/placement/team-usage.ts
@@ -10,6 +10,7 @@
   type Resources,
   addResources,
   scaleResources,
+  wholeTasks,
 } from './resources.js';
 
 /** A team's usage at one moment. */
@@ -112,6 +113,17 @@
     return !exceeds(usageAfter(account, request), account.limit);
   }
 
+  /** Number of the request's tasks, up to all, that the team may start beside others that will use `planned`. */
+  startableTasks(request: StartRequest, planned: Resources): number {
+    const account = this.accounts.get(request.spec.team);
+    if (!account || account.suspended) return 0;
+    const used = addResources(usageAfter(account, { ...request, tasks: 0 }), planned);
+    if (exceeds(used, account.limit)) return 0;
+    const { cpus, gpus } = addResources(account.limit, scaleResources(used, -1));
+    const { spec, tasks } = request;
+    return Math.min(tasks, wholeTasks(cpus, spec.cpus), wholeTasks(gpus, spec.gpus));
+  }
+
   /** Whether the start would fit under the limit without the usage `leaving`, which is expected to end. */
   fitsWithout(request: StartRequest, leaving: Resources): boolean {
     const account = this.accounts.get(request.spec.team);
--- a/test/invariants.test.ts
+++ b/test/invariants.test.ts
@@ -101,19 +101,34 @@
 });
 
 test('a waiting gang is a violation only if the whole gang fits under the limit of its team', () => {
-  const capacities = [{ ...place('m1'), freeCpus: 64 }];
+  const capacities = [{ ...place('m1'), freeCpus: 64, freeGpus: 0, freeMemoryGb: 256 }];
   for (const [tasks, waits] of [
     [3, false],
     [2, true],
   ] as const) {
     const { invariants, clock } = withJob({ kind: 'gang', tasks });
-    invariants.checkWaiting(capacities, []);
+    invariants.checkWaiting(capacities, [], []);
     clock.now = WAITING_LIMIT_MS + 1;
-    invariants.checkWaiting(capacities, []);
+    invariants.checkWaiting(capacities, [], []);
     assert.equal(invariants.violations.length > 0, waits, `${tasks} tasks`);
   }
 });
 
+test('a waiting job is a violation while the cloud would rent a machine that fits, unless the machine lacks memory or GPUs', () => {
+  const free = { ...place('m1'), freeCpus: 64, freeGpus: 1, freeMemoryGb: 256 };
+  for (const [rentable, waits] of [
+    [free, true],
+    [{ ...free, freeGpus: 0 }, false],
+    [{ ...free, freeMemoryGb: 3 }, false],
+  ] as const) {
+    const { invariants, clock } = withJob({ tasks: 1, gpus: 1, memoryGb: 4 });
+    invariants.checkWaiting([], [rentable], []);
+    clock.now = WAITING_LIMIT_MS + 1;
+    invariants.checkWaiting([], [rentable], []);
+    assert.equal(invariants.violations.length > 0, waits);
+  }
+});
+
 test('returning a machine with a task on it is a violation', () => {
   const { invariants } = withJob({ tasks: 1, cpus: 0 });
   invariants.taskStarted(`${JOB.id}/0`, place('m1'));
--- a/test/sim/autoscaler-harness.ts
+++ b/test/sim/autoscaler-harness.ts
@@ -74,6 +74,7 @@
         hasWork: this.demand > 0,
         isUsable: () => true,
       }),
+      waitingTasks: () => [],
       zonesOutOfContact: () => new Set(),
       leasesExtendableUntil: (zone) => (zone === 'c' ? null : this.extendableUntil),
       controllerZones: new Set(['a', 'b']),
--- a/test/sim/cloud.ts
+++ b/test/sim/cloud.ts
@@ -3,6 +3,7 @@
 import type { Body } from '../../src/wire/cbor.js';
 import type { VirtualClock } from './clock.js';
 import type { SeededRandom } from './random.js';
+import type { Place } from './places.js';
 import { RateLimit } from './rate-limit.js';
 import {
   type CloudType,
@@ -54,6 +55,8 @@
 
 /** Size of the allowed burst, as the calls that the rate limit allows in this many seconds. */
 const BURST_S = 2;
+/** Enough machines of one kind for the largest gang of the tests. */
+const MAX_LISTED_PER_POOL = 16;
 /** Maximum number of machines in a page of the machine list. */
 const PAGE_SIZE = 500;
 
@@ -130,6 +133,13 @@
     });
   }
 
+  /** Changes how many machines of the type, and as many spot machines, the cloud has in the zone. */
+  setCount(type: string, zone: string, count: number): void {
+    const pool = this.pools.find((p) => p.type === type && p.zone === zone);
+    if (!pool) throw new Error(`no pool of ${type} in ${zone}`);
+    pool.count = count;
+  }
+
   /** Adds a machine; if `isUp` it runs at once, else it boots after a random time or, with probability 0.03, never. */
   add(type: string, zone: string, spot: boolean, isUp: boolean): CloudMachine {
     const id = `i-${String(this.nextNumber++).padStart(6, '0')}`;
@@ -186,14 +196,30 @@
     return encodeCatalog(this.types.map((type) => ({ ...type, zones: zonesOf(type) })));
   }
 
-  private rent({ request, type, zone, spot, count }: RentalRequest): HttpResponse {
-    const earlierRental = this.rentalsByRequest.get(request);
-    if (earlierRental) return { status: 200, body: encodeRental(earlierRental) };
+  /** Returns the place of each machine that the cloud would rent now, at most `MAX_LISTED_PER_POOL` of each kind. */
+  available(): Omit<Place, 'machine'>[] {
+    if (this.clock.time < this.downUntil) return [];
+    return this.pools.flatMap(({ type, zone }) =>
+      [false, true].flatMap((spot) => {
+        const count = Math.min(MAX_LISTED_PER_POOL, this.remaining(type, zone, spot));
+        return Array.from({ length: Math.max(0, count) }, () => ({ type, zone, spot }));
+      }),
+    );
+  }
+
+  /** Number of machines of this kind that can still be rented. */
+  private remaining(type: string, zone: string, spot: boolean): number {
     const pool = this.pools.find((p) => p.type === type && p.zone === zone);
     const used = [...this.machines.values()].filter(
       (m) => m.type === type && m.zone === zone && m.spot === spot,
     ).length;
-    const granted = Math.min(count, (pool?.count ?? 0) - used);
+    return (pool?.count ?? 0) - used;
+  }
+
+  private rent({ request, type, zone, spot, count }: RentalRequest): HttpResponse {
+    const earlierRental = this.rentalsByRequest.get(request);
+    if (earlierRental) return { status: 200, body: encodeRental(earlierRental) };
+    const granted = Math.min(count, this.remaining(type, zone, spot));
     if (granted <= 0) return { status: 503, body: { error: 'no capacity' } };
     const ids = Array.from({ length: granted }, () => this.add(type, zone, spot, false).id);
     this.rentalsByRequest.set(request, ids);
--- a/test/sim/cluster-config.ts
+++ b/test/sim/cluster-config.ts
@@ -56,6 +56,8 @@
   duties?: Partial<DutySettings>;
   /** Builds that the nodes start with, by node; the others start with `BUILD`. */
   builds?: Record<string, Build>;
+  /** Whether `runScenario` submits jobs of its own; true by default. */
+  randomJobs?: boolean;
   /** Receives the controllers' log lines of level info. */
   log?: (node: string, text: string, fields: object) => void;
 }
--- a/test/sim/cluster.ts
+++ b/test/sim/cluster.ts
@@ -14,6 +14,7 @@
   TEAMS,
   completeConfig,
 } from './cluster-config.js';
+import { findType, rentableCapacities, runningCapacities } from './cluster-capacity.js';
 import { ClusterFaults } from './cluster-faults.js';
 import { VirtualClock } from './clock.js';
 import { GangCoordinator } from './gang-coordinator.js';
@@ -22,7 +23,6 @@
 import { nodeSettings } from './node-settings.js';
 import { type PeerProcess, PeerLinks } from './peer-links.js';
 import { simulatedRuntime } from './simulated-runtime.js';
-import type { MachineCapacity } from './places.js';
 import { SeededRandom } from './random.js';
 import { Invariants } from './invariants.js';
 import { StateService } from './state-service.js';
@@ -112,16 +112,15 @@
     );
   }
 
-  private cpusOf(machine: CloudMachine): number {
-    return this.config.types.find((type) => type.name === machine.type)!.cpus;
-  }
-
   private bootWorker(machine: CloudMachine): Worker {
+    const { cpus, gpus, memoryGb } = findType(this.config.types, machine.type);
     const worker = new Worker(this.network, this.random, this.invariants, this.gangs, {
       id: machine.id,
       address: `w-${machine.id}:9000`,
       type: machine.type,
-      cpus: this.cpusOf(machine),
+      cpus,
+      gpus,
+      memoryGb,
       zone: machine.zone,
       spot: machine.spot,
       reportMs: this.config.reportMs,
@@ -272,17 +271,6 @@
     );
   }
 
-  /** Returns the running machines that are not faulty, with the free capacity of each. */
-  private machineCapacities(): MachineCapacity[] {
-    const used = new Map<string, number>();
-    for (const [task, places] of this.invariants.placesByTask)
-      for (const place of places)
-        used.set(place.machine, (used.get(place.machine) ?? 0) + this.invariants.cpusOf(task));
-    return [...this.cloud.machines.values()]
-      .filter((m) => m.worker && !m.worker.config.faulty)
-      .map((m) => ({ ...m, machine: m.id, freeCpus: this.cpusOf(m) - (used.get(m.id) ?? 0) }));
-  }
-
   /** Runs the cluster for this virtual time, checking the invariants after each step. */
   async run(seconds: number): Promise<void> {
     let maxLeaders = 0;
@@ -293,7 +281,10 @@
     });
     if (this.faultsEndedAt !== null) {
       this.invariants.checkResponded(this.faultsEndedAt);
-      this.invariants.checkWaiting(this.machineCapacities(), this.fetching());
+      const { cloud, invariants, config } = this;
+      const running = runningCapacities(cloud, invariants, config.types);
+      const rentable = rentableCapacities(cloud, config.types);
+      invariants.checkWaiting(running, rentable, this.fetching());
     }
     if (maxLeaders > 1) this.invariants.recordViolation('two_leaders', String(maxLeaders));
   }
--- a/test/sim/invariants.ts
+++ b/test/sim/invariants.ts
@@ -1,13 +1,18 @@
 /** Invariants that must hold under all faults, as seen from outside the service; `docs/safety.md` justifies each. */
-import type { ObservedJob } from './observed-job.js';
-import { type MachineCapacity, type Place, fits, mismatches } from './places.js';
+import type { ObservedJob, WaitingInvariant } from './observed-job.js';
+import { type MachineCapacity, type Place, fits, mismatches, taskSlots } from './places.js';
 import { unservedJobs } from './service-level.js';
-import type { JobResponse, JobState } from './wire/users.js';
+import type { JobResponse, JobState, JobSubmission } from './wire/users.js';
 
 /** Maximum time in milliseconds without a response about an accepted job, once all faults have ended. */
 const MAX_RESPONSE_GAP_MS = 75_000;
-/** Maximum time in milliseconds that a job may wait while a machine has capacity for it, once all faults have ended. */
+/**
+ * Maximum time in milliseconds that a job may wait while a machine has capacity for it, or while the cloud would rent
+ * one, once all faults have ended.
+ */
 const MAX_WAITING_MS = 90_000;
+/** Maximum rounding error of a sum of CPUs. */
+const ROUNDING = 1e-6;
 
 /** Checks PROTOCOL's rules on where tasks run and on the responses to users. */
 export class Invariants {
@@ -45,8 +50,9 @@
       yield* this.placesByTask.get(task) ?? [];
   }
 
-  cpusOf(task: string): number {
-    return this.jobs.get(task.slice(0, task.lastIndexOf('/')))!.spec.cpus;
+  /** Returns the job of a task that was submitted. */
+  specOf(task: string): JobSubmission {
+    return this.jobs.get(task.slice(0, task.lastIndexOf('/')))!.spec;
   }
 
   /** Number of CPUs that the team's tasks use now. */
@@ -82,7 +88,7 @@
     if (job.reportedCancelledAt !== null)
       this.startsAfterCancellationMs.push(this.now() - job.reportedCancelledAt);
     job.firstStartAt ??= this.now();
-    job.waitingSince = null;
+    job.waitingSince.clear();
     this.placesByTask.set(task, [...otherPlaces, place]);
     this.placedTasksByJob.set(id, (this.placedTasksByJob.get(id) ?? new Set()).add(task));
     this.addUsage(job, 1);
@@ -177,30 +183,35 @@
     const zones = job.spec.oneZone ? [...new Set(fitting.map((machine) => machine.zone))] : [null];
     return zones.some((zone) => {
       const inSameZone = fitting.filter((machine) => zone === null || machine.zone === zone);
-      const count = inSameZone.reduce(
-        (sum, machine) => sum + Math.floor(machine.freeCpus / job.spec.cpus),
-        0,
-      );
+      const count = inSameZone.reduce((sum, machine) => sum + taskSlots(job.spec, machine), 0);
       return count >= job.spec.tasks;
     });
   }
 
-  /** Checks, after all faults, that no job keeps waiting while there is capacity and its team is under its limit. */
-  checkWaiting(capacities: MachineCapacity[], fetching: string[]): void {
+  /**
+   * Checks, after all faults, that no job keeps waiting while its team is under its limit and there is capacity, either
+   * on the machines that run, or on those and the ones that the cloud would rent.
+   */
+  checkWaiting(
+    running: MachineCapacity[],
+    rentable: MachineCapacity[],
+    fetching: readonly string[],
+  ): void {
     const used = new Map(this.usedCpusByTeam);
     for (const task of fetching) {
-      const { team } = this.jobs.get(task.slice(0, task.lastIndexOf('/')))!.spec;
-      used.set(team, (used.get(team) ?? 0) + this.cpusOf(task));
+      const { team, cpus } = this.specOf(task);
+      used.set(team, (used.get(team) ?? 0) + cpus);
     }
     for (const [id, job] of this.jobs) {
       const { team } = job.spec;
       // All tasks of a gang start together or not at all, so the whole gang has to fit under the limit.
       const together = job.spec.kind === 'gang' ? job.spec.tasks : 1;
       const cpus = (used.get(team) ?? 0) + together * job.spec.cpus;
-      const isUnderLimit = cpus <= (this.limits.get(team) ?? Infinity);
-      const isWaiting =
-        this.hasTasksLeft(id, job) && isUnderLimit && this.hasCapacity(job, id, capacities);
-      this.recordWaiting(id, job, isWaiting);
+      const mayStart =
+        this.hasTasksLeft(id, job) && cpus <= (this.limits.get(team) ?? Infinity) + ROUNDING;
+      this.recordWaiting(id, job, 'waits', mayStart && this.hasCapacity(job, id, running));
+      const canGetMachine = mayStart && this.hasCapacity(job, id, [...running, ...rentable]);
+      this.recordWaiting(id, job, 'waits_for_machine', canGetMachine);
     }
   }
 
@@ -209,17 +220,23 @@
     return job.spec.tasks - job.finishedTasks.size - (this.placedTasksByJob.get(id)?.size ?? 0) > 0;
   }
 
-  private recordWaiting(id: string, job: ObservedJob, isWaiting: boolean): void {
+  private recordWaiting(
+    id: string,
+    job: ObservedJob,
+    invariant: WaitingInvariant,
+    isWaiting: boolean,
+  ): void {
     if (!isWaiting) {
-      job.waitingSince = null;
+      job.waitingSince.delete(invariant);
       return;
     }
-    job.waitingSince ??= this.now();
+    const since = job.waitingSince.get(invariant) ?? this.now();
+    job.waitingSince.set(invariant, since);
     if (
-      this.now() - job.waitingSince > MAX_WAITING_MS &&
-      !this.violations.some((violation) => violation.includes(`waits: ${id}`))
+      this.now() - since > MAX_WAITING_MS &&
+      !this.violations.some((violation) => violation.includes(`${invariant}: ${id}`))
     )
-      this.recordViolation('waits', id);
+      this.recordViolation(invariant, id);
   }
 
   /** Checks that no task is on any of these machines, which a controller returns because they are idle. */
--- a/test/sim/jobs.ts
+++ b/test/sim/jobs.ts
@@ -105,3 +105,28 @@
     deadlineS: isService ? null : 60,
   };
 }
+
+/** Requirements for clusters with `UNLIKE_TYPES`; each can be met by some pool of `unlikePools`. */
+const REQUIREMENTS: ((random: SeededRandom) => Partial<JobSubmission>)[] = [
+  () => ({}),
+  (random) => ({ zone: random.pick(['a', 'b', 'c']), spread: false, oneZone: false }),
+  (random) => ({ machineTypes: [random.pick(['t16', 'memory', 'gpu'])], spread: false }),
+  () => ({ spread: true, oneZone: false }),
+  () => ({ spread: false, oneZone: true }),
+  () => ({ spot: false }),
+  (random) => ({ cpus: 1, memoryGb: random.pick([30, 60, 120]), spread: false }),
+  (random) => ({ gpus: random.pick([1, 2, 4]), cpus: random.pick([0, 1, 4]), spread: false }),
+  () => ({ cpus: 0, memoryGb: 1 }),
+  (random) => ({ cpus: random.pick([9, 10, 16]), spread: false }),
+];
+
+/** Returns what a random job requires of its machines, as overrides of `Users.newJob`. */
+export function randomRequirements(random: SeededRandom): Partial<JobSubmission> {
+  const kind = random.chance(0.15) ? GANG : random.chance(0.5) ? SERVICE : BATCH;
+  const tasks = kind === GANG ? 3 : random.int(1, kind === SERVICE ? 3 : 10);
+  const isApart = kind === SERVICE && tasks > 1 && random.chance(0.3);
+  const common = { ...kind, tasks, cpus: 2, memoryGb: 2, spread: isApart, spot: kind !== SERVICE };
+  const requirements = random.pick(REQUIREMENTS)(random);
+  // Tasks of a gang that have to be in one zone must not be apart.
+  return { ...common, ...requirements, ...(kind === GANG && { oneZone: true, spread: false }) };
+}
--- a/test/sim/loopback-services.ts
+++ b/test/sim/loopback-services.ts
@@ -3,7 +3,7 @@
 import { HttpClient } from '../../src/http/http-client.js';
 import { TOKENS_PER_EPOCH } from '../../src/leadership/leader-record.js';
 import { type Body, isMap } from '../../src/wire/cbor.js';
-import { type CloudMachine, CloudService } from './cloud.js';
+import { type CloudMachine, CloudService, TYPES } from './cloud.js';
 import { VirtualClock } from './clock.js';
 import { runInRealTime } from './real-time.js';
 import { GangCoordinator } from './gang-coordinator.js';
@@ -237,6 +237,8 @@
       address: this.endpointOf(machine.id),
       type: machine.type,
       cpus: CPUS,
+      gpus: 0,
+      memoryGb: TYPES[0].memoryGb,
       zone: machine.zone,
       spot: machine.spot,
       reportMs: this.config.reportMs,
--- a/test/sim/observed-job.ts
+++ b/test/sim/observed-job.ts
@@ -1,6 +1,9 @@
 /** A job as its user and the machines observe it, from outside the service. */
 import type { JobSubmission } from './wire/users.js';
 
+/** `waits`: a machine has capacity. `waits_for_machine`: a machine has, or the cloud would rent one. */
+export type WaitingInvariant = 'waits' | 'waits_for_machine';
+
 /** A user's requests about a job, the responses, and what the machines executed. Times are in virtual milliseconds. */
 export interface ObservedJob {
   spec: JobSubmission;
@@ -21,10 +24,10 @@
   /** Time at which the first of its tasks started on a machine; null if none has started. */
   firstStartAt: number | null;
   /**
-   * Time since when every check has found a waiting task although a machine had capacity for it, with no start of any
-   * of the job's tasks in between; null if the last check found none.
+   * Time since when every check has found a waiting task although there was capacity, with no start of any of the job's
+   * tasks in between; missing if the last check found none.
    */
-  waitingSince: number | null;
+  waitingSince: Map<WaitingInvariant, number>;
   /** For a gang: the progress that is saved in a checkpoint, in milliseconds. */
   progressMs: number;
 }
@@ -42,7 +45,7 @@
     submittedAt: now,
     lastResponseAt: now,
     firstStartAt: null,
-    waitingSince: null,
+    waitingSince: new Map(),
     progressMs: 0,
   };
 }
--- a/test/sim/places.ts
+++ b/test/sim/places.ts
@@ -12,8 +12,13 @@
 /** A machine and its free capacity. */
 export interface MachineCapacity extends Place {
   freeCpus: number;
+  freeGpus: number;
+  freeMemoryGb: number;
 }
 
+/** Maximum rounding error of a sum of amounts. */
+const ROUNDING = 1e-6;
+
 /** Maximum number of tasks of a spread job in one zone: half of them, rounded up. */
 const maxPerZone = (spec: JobSubmission): number => Math.ceil(spec.tasks / 2);
 
@@ -27,7 +32,18 @@
   if ((spec.zone && spec.zone !== machine.zone) || (machine.spot && !spec.spot)) return false;
   if (spec.oneZone && others.some((other) => other.zone !== machine.zone)) return false;
   if (spec.spread && countInZone(others, machine.zone) + 1 > maxPerZone(spec)) return false;
-  return machine.freeCpus >= spec.cpus;
+  return taskSlots(spec, machine) >= 1;
+}
+
+/** Number of the job's tasks that fit into the machine's free capacity together. */
+export function taskSlots(spec: JobSubmission, machine: MachineCapacity): number {
+  const slots = (free: number, perTask: number): number =>
+    perTask > 0 ? Math.floor(free / perTask + ROUNDING) : Infinity;
+  return Math.min(
+    slots(machine.freeCpus, spec.cpus),
+    slots(machine.freeGpus, spec.gpus),
+    slots(machine.freeMemoryGb, spec.memoryGb),
+  );
 }
 
 /** Returns how a place violates the job's requirements, given the places of its other tasks; empty if it doesn't. */
@@ -43,3 +59,10 @@
   if (spec.spread && same > maxPerZone(spec)) found.push(`: ${same} in ${place.zone}`);
   return found;
 }
+
+/** Subtracts what a task of the job uses from the machine's free capacity. */
+export function subtractTask(capacity: MachineCapacity, spec: JobSubmission): void {
+  capacity.freeCpus -= spec.cpus;
+  capacity.freeGpus -= spec.gpus;
+  capacity.freeMemoryGb -= spec.memoryGb;
+}
--- a/test/sim/run-scenario.ts
+++ b/test/sim/run-scenario.ts
@@ -40,7 +40,7 @@
   prepare(cluster);
   await cluster.run(4);
   for (let second = 0; second < 60; second++) {
-    if (cluster.random.chance(0.25))
+    if (config.randomJobs !== false && cluster.random.chance(0.25))
       void cluster.users.run(
         cluster.users.newJob(),
         cluster.random.chance(0.15) ? cluster.random.between(0, 20_000) : null,
--- a/test/sim/worker-tasks.ts
+++ b/test/sim/worker-tasks.ts
@@ -28,11 +28,16 @@
 
 const keyOf = (task: string, attempt: number): string => `${task}#${attempt}`;
 
+/** Maximum rounding error of a sum of amounts. */
+const ROUNDING = 1e-6;
+
 /** The properties of a machine that its tasks depend on. */
 export interface TaskMachine {
   id: string;
   type: string;
   cpus: number;
+  gpus: number;
+  memoryGb: number;
   zone: string;
   spot: boolean;
   /** Factor by which everything takes longer on this machine. */
@@ -105,11 +110,22 @@
       .map(({ name }) => name);
   }
 
-  private usedCpus(): number {
-    let sum = 0;
-    for (const { name, state } of this.tasks.values())
-      if (state !== 'exited') sum += this.jobOf(name)[0]?.spec.cpus ?? 0;
-    return sum;
+  /** Whether the task would use more than the machine has, beside the tasks that have not exited. */
+  private exceedsCapacity({ cpus, gpus, memoryGb }: JobSubmission): boolean {
+    const used = { cpus, gpus, memoryGb };
+    for (const { name, state } of this.tasks.values()) {
+      const spec = this.jobOf(name)[0]?.spec;
+      if (state === 'exited' || !spec) continue;
+      used.cpus += spec.cpus;
+      used.gpus += spec.gpus;
+      used.memoryGb += spec.memoryGb;
+    }
+    const { machine } = this.deps;
+    return (
+      used.cpus > machine.cpus + ROUNDING ||
+      used.gpus > machine.gpus + ROUNDING ||
+      used.memoryGb > machine.memoryGb + ROUNDING
+    );
   }
 
   execute(commands: TaskCommand[]): void {
@@ -213,8 +229,7 @@
   private rejectionOf(name: string, job: ObservedJob | undefined): ReportedExitCause | null {
     if (!job?.submitted) return 'unknown_task';
     if ([...this.tasks.values()].some((task) => task.name === name)) return 'already_present';
-    const isFull = this.usedCpus() + job.spec.cpus > this.deps.machine.cpus + 1e-6;
-    return isFull ? 'insufficient_resources' : null;
+    return this.exceedsCapacity(job.spec) ? 'insufficient_resources' : null;
   }
 
   private fetchMs({ image, imageGb }: JobSubmission): number {
