Stop replicas on drained machines only if an open zone has room

Cause: before `MachineDrain` stops a task it looks for a machine with room, but without the zones that the job's other tasks leave open. A replica of a spread or single-zone job was stopped although no machine could take it, and waited.

Change: the zones are filtered as in placement, with the task that leaves not counted. The new test fails without the change (a replica is stopped while the only room is in the zone that already has half of them).

--- a/src/placement/machine-constraints.ts
+++ b/src/placement/machine-constraints.ts
@@ -54,6 +54,16 @@
   return zoneFilterFor(job.spec, tasksPerZone(job));
 }
 
+/** Like `zoneFilter`, for a task of the job that leaves its machine: the machine's zone may be open again. */
+export function zoneFilterForMove(job: Job, { machine }: { machine: Machine }): ZoneFilter | null {
+  if (!job.spec.spread && !job.spec.oneZone) return null;
+  const others = tasksPerZone(job);
+  const left = (others.get(machine.zone) ?? 0) - 1;
+  if (left > 0) others.set(machine.zone, left);
+  else others.delete(machine.zone);
+  return zoneFilterFor(job.spec, others);
+}
+
 /** Like `zoneFilter`, over a count that the caller maintains; the filter reads the present count at each call. */
 export function zoneFilterFor(
   spec: JobSpec,
--- a/src/placement/machine-drain.ts
+++ b/src/placement/machine-drain.ts
@@ -6,7 +6,7 @@
 import type { TaskAttempt } from '../workers/task-attempt.js';
 import type { AttemptStopper } from './attempt-stopper.js';
 import type { GangRelocation } from './gang-relocation.js';
-import { hasCapacity, satisfiesConstraints } from './machine-constraints.js';
+import { hasCapacity, satisfiesConstraints, zoneFilterForMove } from './machine-constraints.js';
 import type { RunTimePrediction } from './run-time-prediction.js';
 import { timeToSave } from './save-time.js';
 import type { UsableMachines } from './usable-machines.js';
@@ -76,7 +76,7 @@
     const timeLeftS = progress.timeLeftMs / 1000;
     if (job.spec.kind === 'gang')
       return this.deps.gangRelocation.vacateMachine(attempt, job, timeLeftS, 'machine-drained');
-    const machineWithCapacity = this.findMachineWithCapacity(job, progress);
+    const machineWithCapacity = this.findMachineWithCapacity(attempt, job, progress);
     if (!machineWithCapacity) return false;
     progress.promisedCpus.set(
       machineWithCapacity,
@@ -88,20 +88,24 @@
   }
 
   /**
-   * Returns the next machine with capacity for a task, or null. The drained machine itself is not usable, so it is
-   * never selected. Capacity is checked first: when many machines are preempted at the same time, each of their
-   * heartbeats leads here, and on a full fleet the capacity check is then the only cost.
+   * Returns the next machine with capacity for the task, in a zone that the job's other tasks leave open, or null. The
+   * drained machine itself is not usable, so it is never selected. Capacity is checked first: when many machines are
+   * preempted at the same time, each of their heartbeats leads here, and on a full fleet the capacity check is then the
+   * only cost.
    */
   private findMachineWithCapacity(
+    attempt: TaskAttempt,
     job: Job,
     { candidates, promisedCpus }: DrainProgress,
   ): Machine | null {
+    const isZoneOpen = zoneFilterForMove(job, attempt);
     for (let i = 0; i < candidates.length; i++) {
       const index = (this.nextCandidateIndex + i) % candidates.length;
       const machine = candidates[index];
       if (!hasCapacity(job.spec, machine, promisedCpus.get(machine))) continue;
       if (!satisfiesConstraints(job.spec, machine) || !this.deps.machines.isUsable(machine))
         continue;
+      if (isZoneOpen && !isZoneOpen(machine.zone)) continue;
       this.nextCandidateIndex = (index + 1) % candidates.length;
       return machine;
     }
