Test that late copies of start commands start nothing

On a service like this one, a copy of a start that had been carried out and answered reached its machine once more; a task ran on two machines, and a cancelled one again. Here forgets travel with an advanced token (`commandsForHeartbeat`, `CommandSender.flush`), but no test saw it if they did not.

The simulated workers now report an attempt that starts again after it was removed (`started_again`; PROTOCOL's rules are checked as before).

--- a/test/sim/network.ts
+++ b/test/sim/network.ts
@@ -56,10 +56,12 @@
   path: string;
   chance: number;
   upToMs: number;
-  to: () => string;
+  /** Returns the recipient of a duplicate, given that of the request. */
+  to: (recipient: string) => string;
 }
 
-interface ObservedRequest {
+/** A request as its sender sent it. */
+export interface ObservedRequest {
   from: string;
   to: string;
   method: string;
@@ -164,6 +166,12 @@
     this.observer.responded({ ...response, from: to, to: from, path, body: encode(response.body) });
   }
 
+  /** Delivers a copy of an earlier request now, or once its recipient no longer hangs. Returns the status, 0 if none. */
+  async deliverCopy({ from, to, method, path, body }: ObservedRequest): Promise<number> {
+    const response = await this.deliver({ from, to, method, path, body: decodeMap(body)! });
+    return response?.status ?? 0;
+  }
+
   /** Sends a message without a response, as between controllers; delayed, held or lost like all messages. */
   sendOneWay(from: string, to: string, onArrival: () => void): void {
     this.transmit(from, to, onArrival, () => undefined);
@@ -221,7 +229,7 @@
 
   private scheduleDuplicates(message: Message): void {
     if (this.duplicates?.path === message.path && this.random.chance(this.duplicates.chance)) {
-      const to = this.duplicates.to();
+      const to = this.duplicates.to(message.to);
       this.clock.after(
         this.random.between(500, this.duplicates.upToMs),
         () => void this.deliverDuplicate({ ...message, to }),
--- a/test/sim/worker-tasks.ts
+++ b/test/sim/worker-tasks.ts
@@ -65,6 +65,8 @@
 /** The tasks of a machine by name and attempt; a task that has exited stays until a command removes it. */
 export class WorkerTasks {
   private readonly tasks = new Map<string, Task>();
+  /** The tasks that were removed by a command since the last `killAll`, by name and attempt. */
+  private readonly removed = new Set<string>();
   /** Images that have been fetched. */
   private readonly images = new Set<string>();
 
@@ -89,6 +91,7 @@
       if (job?.spec.kind === 'gang') this.deps.gangs.leave(job, task.attempt, taskNumber, null);
     }
     this.tasks.clear();
+    this.removed.clear();
   }
 
   /** Whether the task is saving a checkpoint here after a stop command, alone or with its gang. */
@@ -137,6 +140,7 @@
         this.stop(task, command.graceS);
       if (command.kind === 'remove' && task?.state === 'exited') {
         this.tasks.delete(key);
+        this.removed.add(key);
         this.deps.changed();
       }
     }
@@ -213,6 +217,9 @@
     const task: Task = { name, attempt, state: 'fetching', cancel: () => undefined };
     const [job, taskNumber] = this.jobOf(name);
     const rejection = this.rejectionOf(name, job);
+    // A replaced task of a gang is started again under the same number.
+    if (this.removed.has(key) && job?.spec.kind !== 'gang')
+      this.deps.invariants.recordViolation('started_again', `${key} on ${this.deps.machine.id}`);
     this.tasks.set(key, task);
     this.deps.changed();
     if (!job || rejection) {
