--- a/src/workers/heartbeat-applier.ts
+++ b/src/workers/heartbeat-applier.ts
@@ -2,7 +2,7 @@
 import type { Job } from '../jobs/job.js';
 import type { Heartbeat, TaskStatus } from '../wire/model.js';
 import type { AttemptLifecycle } from './attempt-lifecycle.js';
-import { recordReportedToken } from './fencing-tokens.js';
+import { type FencingTokens, recordReportedToken } from './fencing-tokens.js';
 import type { Machine } from './machine.js';
 import type { StopRequest } from './stop-request.js';
 import { TaskAttempt, attemptKey } from './task-attempt.js';
@@ -11,13 +11,13 @@
 export class HeartbeatApplier {
   constructor(
     private readonly lifecycle: AttemptLifecycle,
+    private readonly tokens: FencingTokens,
     private readonly findJob: (id: string) => Job | undefined,
   ) {}
 
   /**
    * Returns false, and changes nothing, for a heartbeat that is not newer than the last. An attempt that the heartbeat
-   * does not list is removed only if its start can no longer be executed: the start got a response, or the machine has
-   * reported the token that fences it.
+   * does not list is removed only if its start can no longer be executed, not even by a late copy of the command.
    */
   apply(machine: Machine, heartbeat: Heartbeat, now: number): boolean {
     if (!isNewer(heartbeat, machine, machine.lastAppliedSequence)) return false;
@@ -30,12 +30,35 @@
       reportedKeys.add(key);
       this.applyTaskStatus(machine, key, task, now);
     }
-    for (const [key, attempt] of machine.attempts)
-      if (!reportedKeys.has(key) && !mayStillStart(machine, attempt))
-        this.lifecycle.remove(attempt, now);
+    const missing = [...machine.attempts].filter(([key]) => !reportedKeys.has(key));
+    this.handleMissing(
+      machine,
+      missing.map(([, attempt]) => attempt),
+      now,
+    );
     return true;
   }
 
+  /**
+   * Removes the missing attempts that can't be started any more. Fences those that were on the machine and that it was
+   * not told to forget: it has restarted without its tasks, and a late copy of their start commands would start them
+   * again. They count as possibly on the machine until it reports the new token.
+   */
+  private handleMissing(machine: Machine, missing: readonly TaskAttempt[], now: number): void {
+    const lost = missing.filter(
+      (attempt) => attempt.mayBeOnMachine() && !attempt.startUnacknowledged,
+    );
+    if (lost.length > 0) {
+      const token = this.tokens.advance(machine);
+      for (const attempt of lost) {
+        attempt.startUnacknowledged = true;
+        attempt.fencedByToken = token;
+      }
+    }
+    for (const attempt of missing)
+      if (!mayStillStart(machine, attempt)) this.lifecycle.remove(attempt, now);
+  }
+
   /**
    * Removes all attempts: a worker that begins a new incarnation has killed and forgotten all tasks, and refuses
    * commands for the earlier one.
--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -34,7 +34,7 @@
   ) {
     this.tokens = new FencingTokens(baseToken);
     this.lifecycle = new AttemptLifecycle(events, this.backlog);
-    this.heartbeats = new HeartbeatApplier(this.lifecycle, findJob);
+    this.heartbeats = new HeartbeatApplier(this.lifecycle, this.tokens, findJob);
   }
 
   all(): IterableIterator<Machine> {
--- a/src/workers/task-attempt.ts
+++ b/src/workers/task-attempt.ts
@@ -43,7 +43,10 @@
   cause: ExitCause | null = null;
   /** Whether the start was sent. It is sent only once. */
   startSent = false;
-  /** Whether the start has no known response, so that it may still be executed; see `fencedByToken`. */
+  /**
+   * Whether the start may still be executed: it has no known response, or the machine has lost the task, so that a copy
+   * of the command would start it again. See `fencedByToken`.
+   */
   startUnacknowledged = true;
   /** Once the machine has reported this token, a start without a response can no longer be executed. 0: not fenced. */
   fencedByToken = 0;
--- a/test/late-start-copies.test.ts
+++ b/test/late-start-copies.test.ts
@@ -170,6 +170,20 @@
   assert.equal(cluster.invariants.placesByTask.get(task)?.length, 1);
 });
 
+// Guards against a task that runs on two machines at once. PROTOCOL says when a session and the highest token change,
+// and a restart of the machine is not among these events.
+for (const seed of [1, 2, 3])
+  test(`late copies of a start start nothing after the machine has restarted, without its tasks, and the task runs elsewhere (${seed})`, async () => {
+    const current = await scene({ seed });
+    const { cluster, copies } = current;
+    const start = await startedTask(current, LONG_TASK);
+    cluster.cloud.machines.get(start.machine)!.worker!.restart();
+    giveNotice(current, start.machine);
+    await runUntil(current, () => copies.lastOf(start.task) !== start);
+    await deliverCopies(current, start, 30);
+    assert.equal(cluster.invariants.placesByTask.get(start.task)?.length, 1);
+  });
+
 // Forgets are usually sent in responses to heartbeats. Here one is due when a stop of another task is sent.
 test('late copies of a start start nothing if the attempt was forgotten in a request with other commands', async () => {
   const current = await scene({ reportMs: 10_000, ordinaryUp: 1, capacity: 0 });
--- a/test/sim/worker.ts
+++ b/test/sim/worker.ts
@@ -113,6 +113,15 @@
     };
   }
 
+  /**
+   * Restarts the machine: all tasks are lost. The session goes on, since the lease has not expired, and the worker knows
+   * the highest token that it has seen.
+   */
+  restart(): void {
+    this.tasks.killAll();
+    this.noteChange();
+  }
+
   /** Ends the worker and all tasks on its machine. */
   kill(): void {
     this.tasks.killAll();
