--- a/src/workers/heartbeat-applier.ts
+++ b/src/workers/heartbeat-applier.ts
@@ -30,12 +30,10 @@
       reportedKeys.add(key);
       this.applyTaskStatus(machine, key, task, now);
     }
-    const missing = [...machine.attempts].filter(([key]) => !reportedKeys.has(key));
-    this.handleMissing(
-      machine,
-      missing.map(([, attempt]) => attempt),
-      now,
-    );
+    const missing: TaskAttempt[] = [];
+    for (const [key, attempt] of machine.attempts)
+      if (!reportedKeys.has(key)) missing.push(attempt);
+    this.handleMissing(machine, missing, now);
     return true;
   }
 
