--- a/test/late-start-copies.test.ts
+++ b/test/late-start-copies.test.ts
@@ -50,10 +50,10 @@
   return submission.id;
 }
 
-async function runUntil({ cluster }: Scene, isReached: () => boolean): Promise<void> {
-  for (let waitedS = 0; !isReached(); waitedS += 0.1) {
+async function runUntil({ cluster }: Scene, isReached: () => boolean, stepS = 0.1): Promise<void> {
+  for (let waitedS = 0; !isReached(); waitedS += stepS) {
     assert.ok(waitedS < MAX_WAIT_S, 'the state is reached');
-    await cluster.run(0.1);
+    await cluster.run(stepS);
   }
 }
 
@@ -184,6 +184,18 @@
     assert.equal(cluster.invariants.placesByTask.get(start.task)?.length, 1);
   });
 
+// Guards against the same if the task was stopped, and its machine restarts before it was told to forget the attempt.
+test('late copies of a start start nothing if the machine restarts, without its tasks, between the end of a moved attempt and its forget', async () => {
+  const current = await scene();
+  const { cluster, copies } = current;
+  const start = await startedTask(current, LONG_TASK);
+  giveNotice(current, start.machine);
+  await runUntil(current, () => copies.lastOf(start.task) !== start, COPY_INTERVAL_S);
+  assert.ok(copies.isReported(start), 'the attempt is not forgotten yet');
+  cluster.cloud.machines.get(start.machine)!.worker!.restart();
+  await deliverCopies(current, start, 30);
+});
+
 // Forgets are usually sent in responses to heartbeats. Here one is due when a stop of another task is sent.
 test('late copies of a start start nothing if the attempt was forgotten in a request with other commands', async () => {
   const current = await scene({ reportMs: 10_000, ordinaryUp: 1, capacity: 0 });
