--- a/src/leadership/leader-components.ts
+++ b/src/leadership/leader-components.ts
@@ -87,6 +87,9 @@
       attemptAdded: (attempt) => {
         this.placement.attemptAdded(attempt);
       },
+      fenceRequired: () => {
+        this.cycles.request();
+      },
       attemptEnded: (attempt) => {
         this.placement.attemptEnded(attempt);
         this.cycles.request();
--- a/src/workers/attempt-lifecycle.ts
+++ b/src/workers/attempt-lifecycle.ts
@@ -12,6 +12,8 @@
 export interface AttemptEvents {
   /** From now on the task may be on the machine. */
   attemptAdded(attempt: TaskAttempt): void;
+  /** The attempt is `fencing`: its machine should report the token for it as soon as possible. */
+  fenceRequired(attempt: TaskAttempt): void;
   /**
    * The task is guaranteed not to be on the machine any more; `attempt.state` indicates whether it exited or was
    * removed. Called once per attempt.
@@ -47,14 +49,20 @@
     if (next === attempt.state || !isAllowedTransition(attempt.state, next)) return;
     const isFinal = next === 'exited' || next === 'removed';
     if (isFinal) accountResources(attempt, -1);
-    else if (isFetching(attempt) && next !== 'fetching') adjustFetchCount(attempt, -1);
+    else adjustFetchCount(attempt, Number(next === 'fetching') - Number(isFetching(attempt)));
     if (attempt.state === 'running' && attempt.job) attempt.job.running--;
     attempt.state = next;
-    attempt.startUnacknowledged = false;
+    attempt.startUnacknowledged = next === 'fencing';
     if (isFinal) this.afterFinalTransition(attempt, now);
+    else if (next === 'fencing') this.requireFence(attempt);
     else if (next === 'waiting' || next === 'running') recordWaitingOrRunning(attempt, next, now);
   }
 
+  private requireFence(attempt: TaskAttempt): void {
+    this.backlog.markPending(attempt.machine);
+    this.events.fenceRequired(attempt);
+  }
+
   private afterFinalTransition(attempt: TaskAttempt, now: number): void {
     recordIfEmpty(attempt.machine, now);
     // The machine has to be sent a forget command for the attempt.
@@ -82,10 +90,10 @@
   return attempt.state === 'starting' || attempt.state === 'fetching';
 }
 
-function adjustFetchCount(attempt: TaskAttempt, sign: 1 | -1): void {
+function adjustFetchCount(attempt: TaskAttempt, change: number): void {
   if (!attempt.job) return;
   const { fetching } = attempt.machine;
-  const count = (fetching.get(attempt.job.spec.image) ?? 0) + sign;
+  const count = (fetching.get(attempt.job.spec.image) ?? 0) + change;
   if (count > 0) fetching.set(attempt.job.spec.image, count);
   else fetching.delete(attempt.job.spec.image);
 }
--- a/src/workers/command-sender.ts
+++ b/src/workers/command-sender.ts
@@ -107,13 +107,12 @@
     const { runtime, table } = this.deps;
     const now = runtime.clock.now();
     if (!this.maySend(machine, probe, now)) return;
-    const { commands, starts, nothingOutstanding }: CommandBatch = machine.stored
+    const { commands, starts, needsToken, nothingOutstanding }: CommandBatch = machine.stored
       ? collectCommands(machine, this.deps, now)
       : EMPTY_BATCH;
     table.backlog.pending.delete(machine);
     if (nothingOutstanding) table.backlog.clear(machine);
-    if (commands.length === 0 && !probe) return;
-    for (const attempt of starts) attempt.startSent = true;
+    if (commands.length === 0 && !needsToken && !probe) return;
     // Forgets alone wait for the next heartbeat; here they are added to a request that is sent anyway. Advancing the
     // token keeps a duplicate of the start, which has a lower token, from starting a forgotten attempt again.
     const forgets = machine.stored ? takeDueForgets(machine, now) : [];
@@ -140,7 +139,9 @@
     machine.inFlight = { attempts: starts };
     this.inFlight++;
     if (failing) this.inFlightToFailing++;
-    const body = commandsBody(table.tokenFor(machine), machine.incarnation || 1, commands);
+    const token = table.tokenFor(machine);
+    for (const attempt of starts) attempt.markStartSent(token);
+    const body = commandsBody(token, machine.incarnation || 1, commands);
     const response = await runtime.http.send(
       machine.endpoint,
       'POST',
@@ -168,7 +169,7 @@
         this.applyResponseHeartbeat(machine, response);
         break;
       default:
-        table.startsWithoutResponse(machine, starts);
+        table.startsWithoutResponse(machine);
         machine.commandFailures++;
         machine.nextSendAt = now + retryDelayMs(machine.commandFailures);
     }
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -13,6 +13,8 @@
   commands: WorkerCommand[];
   /** The attempts that the commands start. */
   starts: Set<TaskAttempt>;
+  /** Whether the request is to be sent even without commands: attempts are `fencing` until the machine reports its token. */
+  needsToken: boolean;
   /** Whether the machine has no commands left to be sent, now or later. */
   nothingOutstanding: boolean;
 }
@@ -21,6 +23,7 @@
 export const EMPTY_BATCH: CommandBatch = {
   commands: [],
   starts: new Set(),
+  needsToken: false,
   nothingOutstanding: false,
 };
 
@@ -71,9 +74,13 @@
   const startCommands: WorkerCommand[] = [];
   const starts = new Set<TaskAttempt>();
   let nothingOutstanding = true;
+  let needsToken = false;
   for (const attempt of machine.attempts.values()) {
     if (attempt.state === 'exited') nothingOutstanding = false;
-    else if (attempt.stop && attempt.startSent) {
+    else if (attempt.state === 'fencing') {
+      nothingOutstanding = false;
+      needsToken = true;
+    } else if (attempt.stop && attempt.startSent) {
       nothingOutstanding = false;
       if (isStopDue(attempt, now)) stopCommands.push(takeStop(attempt, attempt.stop, now));
     } else if (!attempt.startSent && !attempt.stop) {
@@ -83,7 +90,7 @@
       startCommands.push({ op: 'start', ...refOf(attempt) });
     }
   }
-  return { commands: [...stopCommands, ...startCommands], starts, nothingOutstanding };
+  return { commands: [...stopCommands, ...startCommands], starts, needsToken, nothingOutstanding };
 }
 
 function isStopDue(attempt: TaskAttempt, now: number): boolean {
--- a/src/workers/fencing-tokens.ts
+++ b/src/workers/fencing-tokens.ts
@@ -20,6 +20,11 @@
     return this.tokenFor(machine);
   }
 
+  /** Advances the token for a machine unless it is above the given one already. */
+  ensureAbove(machine: Machine, token: number): void {
+    if (this.tokenFor(machine) <= token) this.advance(machine);
+  }
+
   /**
    * Returns the token for a heartbeat response. It is advanced once the last acknowledgement is older than
    * `intervalMs`, so that the next heartbeat shows whether responses reach the machine. A machine whose heartbeats
--- a/src/workers/heartbeat-applier.ts
+++ b/src/workers/heartbeat-applier.ts
@@ -30,31 +30,24 @@
       reportedKeys.add(key);
       this.applyTaskStatus(machine, key, task, now);
     }
-    const missing: TaskAttempt[] = [];
     for (const [key, attempt] of machine.attempts)
-      if (!reportedKeys.has(key)) missing.push(attempt);
-    this.handleMissing(machine, missing, now);
+      if (!reportedKeys.has(key)) this.handleMissing(attempt, now);
     return true;
   }
 
   /**
-   * Removes the missing attempts that can't be started any more. Fences those that were on the machine and that it was
-   * not told to forget: it has restarted without its tasks, and a late copy of their start commands would start them
-   * again. They count as possibly on the machine until it reports the new token.
+   * Removes a missing attempt that can't be started any more. Fences one that was on the machine and that it was not told
+   * to forget: the machine has restarted without its tasks, and a late copy of the start command would start it again.
    */
-  private handleMissing(machine: Machine, missing: readonly TaskAttempt[], now: number): void {
-    const lost = missing.filter(
-      (attempt) => attempt.mayBeOnMachine() && !attempt.startUnacknowledged,
-    );
-    if (lost.length > 0) {
-      const token = this.tokens.advance(machine);
-      for (const attempt of lost) {
-        attempt.startUnacknowledged = true;
-        attempt.fencedByToken = token;
-      }
-    }
-    for (const attempt of missing)
-      if (!mayStillStart(machine, attempt)) this.lifecycle.remove(attempt, now);
+  private handleMissing(attempt: TaskAttempt, now: number): void {
+    if (!mayStillStart(attempt)) this.lifecycle.remove(attempt, now);
+    else if (!attempt.startUnacknowledged) this.fence(attempt, now);
+  }
+
+  /** Has the machine report a token above that of the attempt's start; until then, the task may be on the machine. */
+  private fence(attempt: TaskAttempt, now: number): void {
+    this.lifecycle.transitionTo(attempt, 'fencing', now);
+    this.tokens.ensureAbove(attempt.machine, attempt.startToken);
   }
 
   /**
@@ -71,19 +64,37 @@
 
   private applyTaskStatus(machine: Machine, key: string, task: TaskStatus, now: number): void {
     const attempt = machine.attempts.get(key) ?? this.discover(machine, task, now);
+    if (task.state === 'exited') {
+      this.applyExit(attempt, task, now);
+      return;
+    }
+    // Before it was fenced, a late copy of the start may have started it again.
+    if (attempt.state === 'fencing') attempt.cause = null;
     attempt.startUnacknowledged = false;
-    if (task.state === 'exited' && attempt.cause === null) attempt.cause = task.cause;
     this.lifecycle.transitionTo(attempt, task.state, now);
     // A task saves only if it was told to stop. Its new leader must neither stop it again with less time, nor start
     // anything in its favour: it is leaving already.
     if (attempt.state === 'saving' && attempt.job) attempt.stop ??= stopByFormerLeader(attempt.job);
   }
 
+  /**
+   * An attempt whose task will be started again has left the machine only once no copy of its start can be executed. A
+   * task that is done ends at once wherever it is started again.
+   */
+  private applyExit(attempt: TaskAttempt, { cause }: TaskStatus, now: number): void {
+    if (!attempt.mayBeOnMachine()) return;
+    attempt.cause ??= cause;
+    const isRestartable = attempt.job !== null && attempt.cause !== 'done';
+    if (isRestartable && !attempt.isFenced()) this.fence(attempt, now);
+    else this.lifecycle.transitionTo(attempt, 'exited', now);
+  }
+
   /** Adds an attempt that the table does not have: a former leader started it, or this leader removed it before. */
   private discover(machine: Machine, task: TaskStatus, now: number): TaskAttempt {
     const job = this.findJob(task.job) ?? null;
     const attempt = new TaskAttempt(machine, task.job, job, task.taskNumber, task.attempt, now);
-    attempt.startSent = true;
+    // The start was executed, so that its token is not above the highest one that the machine has seen.
+    attempt.markStartSent(machine.reportedToken);
     attempt.startTimeUnknown = task.state !== 'fetching' && task.state !== 'waiting';
     return this.lifecycle.insert(attempt);
   }
@@ -111,17 +122,9 @@
   machine.preemptionDeadline = preemptionNoticeS === null ? null : now + preemptionNoticeS * 1000;
 }
 
-/**
- * Whether the start of an attempt that the heartbeat does not list may still be executed. It can't once the machine has
- * reported `fencedByToken`.
- */
-function mayStillStart(machine: Machine, attempt: TaskAttempt): boolean {
-  if (!attempt.startUnacknowledged) return false;
-  const inFlight = machine.inFlight?.attempts.has(attempt) === true;
-  return (
-    inFlight ||
-    !attempt.startSent ||
-    attempt.fencedByToken === 0 ||
-    machine.reportedToken < attempt.fencedByToken
-  );
+/** Whether the start of an attempt that the heartbeat does not list may still be executed. */
+function mayStillStart(attempt: TaskAttempt): boolean {
+  if (!attempt.mayBeOnMachine()) return false;
+  const inFlight = attempt.machine.inFlight?.attempts.has(attempt) === true;
+  return inFlight || !attempt.isFenced();
 }
--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -166,17 +166,16 @@
 
   /** Marks the starts of an executed request: an attempt missing in a later heartbeat no longer exists. */
   startsAcknowledged(attempts: Iterable<TaskAttempt>): void {
-    for (const attempt of attempts) attempt.startUnacknowledged = false;
+    for (const attempt of attempts)
+      if (attempt.state !== 'fencing') attempt.startUnacknowledged = false;
   }
 
   /**
    * Handles a missing response: the starts may be executed even minutes later, until the machine reports a higher
    * token.
    */
-  startsWithoutResponse(machine: Machine, attempts: Iterable<TaskAttempt>): void {
+  startsWithoutResponse(machine: Machine): void {
     machine.requiredToken = this.advanceToken(machine);
-    for (const attempt of attempts)
-      if (attempt.startUnacknowledged) attempt.fencedByToken = machine.requiredToken;
   }
 
   /**
--- a/src/workers/task-attempt.ts
+++ b/src/workers/task-attempt.ts
@@ -9,20 +9,24 @@
  * - `starting`: a start was decided; it may be in flight.
  * - `fetching`, `waiting`, `running`, `saving`: as reported by the worker. `waiting`: only for gangs; the task has its
  *   image and waits for the other tasks.
+ * - `fencing`: has exited without a result, was refused, or was lost by a machine that restarted, but the machine has not
+ *   yet reported a token above that of the start. If it loses its tasks now, a late copy of the start command starts the
+ *   task again, so that the task may not be started elsewhere yet.
  * - `exited`: no longer on the machine, which still reports the attempt until it receives a forget command.
  * - `removed`: guaranteed not to be on the machine, and not reported by it either: the attempt was never executed or
  *   was killed with its incarnation, or the machine no longer exists.
  */
 export type AttemptState =
-  'starting' | 'fetching' | 'waiting' | 'running' | 'saving' | 'exited' | 'removed';
+  'starting' | 'fetching' | 'waiting' | 'running' | 'saving' | 'fencing' | 'exited' | 'removed';
 
 /** The allowed transitions. Reports that would cause any other are late, and are ignored. */
 const TRANSITIONS: Transitions<AttemptState> = {
-  starting: ['fetching', 'waiting', 'running', 'saving', 'exited', 'removed'],
-  fetching: ['waiting', 'running', 'saving', 'exited', 'removed'],
-  waiting: ['running', 'saving', 'exited', 'removed'],
-  running: ['saving', 'exited', 'removed'],
-  saving: ['exited', 'removed'],
+  starting: ['fetching', 'waiting', 'running', 'saving', 'fencing', 'exited', 'removed'],
+  fetching: ['waiting', 'running', 'saving', 'fencing', 'exited', 'removed'],
+  waiting: ['running', 'saving', 'fencing', 'exited', 'removed'],
+  running: ['saving', 'fencing', 'exited', 'removed'],
+  saving: ['fencing', 'exited', 'removed'],
+  fencing: ['fetching', 'waiting', 'running', 'saving', 'exited', 'removed'],
   exited: [],
   removed: [],
 };
@@ -44,12 +48,12 @@
   /** Whether the start was sent. It is sent only once. */
   startSent = false;
   /**
-   * Whether the start may still be executed: it has no known response, or the machine has lost the task, so that a copy
-   * of the command would start it again. See `fencedByToken`.
+   * Token that the start was sent with, or an upper bound of it if another leader sent it. Once the machine has reported
+   * a higher token, it executes no copy of the start.
    */
+  startToken = 0;
+  /** Whether the start may still be executed: it has no known response, or the attempt is `fencing`. */
   startUnacknowledged = true;
-  /** Once the machine has reported this token, a start without a response can no longer be executed. 0: not fenced. */
-  fencedByToken = 0;
   /**
    * Set when the task is to be stopped, or a former leader has stopped it. Replaced only by `MachineTable.stop`, by a
    * stricter request.
@@ -79,6 +83,17 @@
     readonly createdAt: number,
   ) {}
 
+  /** Records that the start was sent with this token. */
+  markStartSent(token: number): void {
+    this.startSent = true;
+    this.startToken = token;
+  }
+
+  /** Whether the machine refuses every copy of the start, because it has reported a higher token. */
+  isFenced(): boolean {
+    return this.startSent && this.machine.reportedToken > this.startToken;
+  }
+
   /** Whether the attempt is neither exited nor removed. */
   mayBeOnMachine(): boolean {
     return this.state !== 'exited' && this.state !== 'removed';
--- a/test/machine-records.test.ts
+++ b/test/machine-records.test.ts
@@ -1,6 +1,7 @@
 /** The store of machine records alone, outside a controller, with a state service whose requests can be delayed. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { IGNORED_ATTEMPT_EVENTS } from './sim/attempt-events.js';
 import { Cluster } from './sim/cluster.js';
 import { clientRuntime } from './sim/client-runtime.js';
 import { StateStore } from '../src/state-store/client.js';
@@ -22,10 +23,7 @@
   cluster.network.repeatRate = 0;
   cluster.state.putDirectly('boss', {});
   const store = new StateStore(runtime, { address: 'state:1', nodes: 1, rps: 100, writeRps: 50 });
-  const table = new MachineTable(1, 8000, () => undefined, {
-    attemptAdded: () => undefined,
-    attemptEnded: () => undefined,
-  });
+  const table = new MachineTable(1, 8000, () => undefined, IGNORED_ATTEMPT_EVENTS);
   const type = {
     name: 't',
     cpus: 8,
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -21,6 +21,7 @@
 test('a gang is relocated only as a whole: if all of it fits elsewhere and all its machines are reachable', () => {
   const table = new MachineTable(100, 10_000, () => undefined, {
     attemptAdded: (attempt) => attempt.job?.addAttempt(attempt),
+    fenceRequired: () => undefined,
     attemptEnded: () => undefined,
   });
   const addMachine = (id: string): Machine => {
--- a/test/sim/autoscaler-harness.ts
+++ b/test/sim/autoscaler-harness.ts
@@ -8,6 +8,7 @@
 import type { MachineType, Heartbeat } from '../../src/wire/model.js';
 import { type Machine } from '../../src/workers/machine.js';
 import { MachineTable } from '../../src/workers/machine-table.js';
+import { IGNORED_ATTEMPT_EVENTS } from './attempt-events.js';
 import { quietLog } from './quiet-log.js';
 import { type MachineListEntry, decodeCloudRequest, encodeMachineList } from './wire/cloud.js';
 
@@ -48,11 +49,7 @@
 
   constructor(machinesPerZone: number) {
     const runtime = this.createRuntime();
-    const ignore = (): undefined => undefined;
-    this.table = new MachineTable(100, LEASE_S * 1000, ignore, {
-      attemptAdded: ignore,
-      attemptEnded: ignore,
-    });
+    this.table = new MachineTable(100, LEASE_S * 1000, () => undefined, IGNORED_ATTEMPT_EVENTS);
     const cloud = new Cloud(runtime, 'cloud:1', 50);
     this.autoscaler = new Autoscaler({
       runtime,
--- a/test/sim/placement-harness.ts
+++ b/test/sim/placement-harness.ts
@@ -23,6 +23,7 @@
     attemptAdded: (attempt) => {
       placement.attemptAdded(attempt);
     },
+    fenceRequired: () => undefined,
     attemptEnded: (attempt) => {
       placement.attemptEnded(attempt);
     },
--- a/test/surplus-machines.test.ts
+++ b/test/surplus-machines.test.ts
@@ -5,6 +5,7 @@
 import { markSurplus } from '../src/autoscaler/surplus-machines.js';
 import type { Machine } from '../src/workers/machine.js';
 import { MachineTable } from '../src/workers/machine-table.js';
+import { IGNORED_ATTEMPT_EVENTS } from './sim/attempt-events.js';
 import { machineType } from './sim/machine-type.js';
 
 const TYPE = machineType(16);
@@ -22,10 +23,7 @@
 
 /** Returns ordinary machines, one in each of the zones. */
 function machinesIn(zones: readonly string[]): Machine[] {
-  const table = new MachineTable(100, 10_000, () => undefined, {
-    attemptAdded: () => undefined,
-    attemptEnded: () => undefined,
-  });
+  const table = new MachineTable(100, 10_000, () => undefined, IGNORED_ATTEMPT_EVENTS);
   return zones.map((zone, i) => table.add(`m${i}`, `m${i}:1`, TYPE, zone, false, 0));
 }
 
--- a/test/team-usage.test.ts
+++ b/test/team-usage.test.ts
@@ -98,6 +98,7 @@
       decisions.started(attempt, usage.quotaStatus('t'), 0);
       usage.charge(attempt.job!.spec);
     },
+    fenceRequired: () => undefined,
     attemptEnded: (attempt) => {
       usage.refund(attempt.job!.spec);
     },
