Take no burst of held reports for news; fill pages of progress by their size

A follower that answers for the leader took a worker's second report for prompt if it came soon after the first. Reports that were held up arrive in a burst, and look just so. As for the leader, reports now count only once the machine has answered a request; followers ask those that report to them, as long as a leader is alive that does not hear them.

Pages of stored progress are filled by the size of their entries as JSON, about three times as many jobs a page, so that the first reports after a cut need fewer writes. The share of the write limit is 0.25. What is known to run is summed up at most five times a second, however many users ask.

--- a/src/progress/observed-tasks.ts
+++ b/src/progress/observed-tasks.ts
@@ -6,6 +6,7 @@
 
 /** The last report of a machine. */
 interface ObservedMachine {
+  endpoint: string;
   incarnation: number;
   sequence: number;
   arrivedAt: number;
@@ -14,16 +15,29 @@
   running: Map<string, number>;
 }
 
+/** The running tasks on all machines whose state is known. */
+interface Summary {
+  at: number;
+  /** Number of machines. */
+  machines: number;
+  /** Number of running tasks by job. */
+  running: Map<string, number>;
+}
+
 const NO_JOBS: ReadonlyMap<string, null> = new Map();
+/** Age up to which a summary is used again: many users may ask at once. */
+const MAX_SUMMARY_AGE_MS = 200;
+/** A machine that has sent nothing for longer than this is forgotten. */
+const RETENTION_MS = 60_000;
 
 /**
- * Knows of tasks that run, not of tasks that don't: a task may be on another machine as well. A report counts from the
- * second one on, since only its machine's previous report, which was answered, tells for how long it can have been under
- * way: see `MachineNews`.
+ * Knows of tasks that run, not of tasks that don't: a task may be on another machine as well. As for the leader, the
+ * reports of a machine count only once it has answered a request: see `MachineNews`.
  */
 export class ObservedTasks {
   private readonly machines = new Map<string, ObservedMachine>();
   private readonly news: MachineNews;
+  private summary: Summary | null = null;
 
   /** `epoch` is different for each process of this controller. */
   constructor(
@@ -36,53 +50,76 @@
 
   /** Records a report that is answered in such a way that the worker goes on to report to this controller. */
   recordReport(heartbeat: Heartbeat): void {
-    const now = this.now();
-    const previous = this.machines.get(heartbeat.machine);
-    const isPrompt =
-      previous !== undefined && this.news.isCurrent({ newsFrom: previous.arrivedAt }, false, now);
-    this.record(heartbeat, isPrompt ? now : -Infinity);
+    const machine = this.record(heartbeat);
+    if (machine) this.news.reportArrived(machine, machine.arrivedAt);
   }
 
   /** Records the report in the response to a request that was sent at `requestedAt`. */
   recordResponse(heartbeat: Heartbeat, requestedAt: number): void {
-    this.record(heartbeat, requestedAt);
+    const machine = this.record(heartbeat);
+    if (machine) this.news.responseArrived(machine, requestedAt);
   }
 
-  private record({ machine, incarnation, sequence, tasks }: Heartbeat, newsFrom: number): void {
-    const previous = this.machines.get(machine);
-    if (previous && !isNewer(incarnation, sequence, previous)) return;
+  /** Returns null for a report that is not newer than the last one of its machine. */
+  private record({
+    machine: id,
+    endpoint,
+    incarnation,
+    sequence,
+    tasks,
+  }: Heartbeat): ObservedMachine | null {
+    const previous = this.machines.get(id);
+    if (previous && !isNewer(incarnation, sequence, previous)) return null;
     const running = new Map<string, number>();
     for (const { job, state } of tasks)
       if (state === 'running') running.set(job, (running.get(job) ?? 0) + 1);
+    const newsFrom = previous?.newsFrom ?? -Infinity;
     const arrivedAt = this.now();
-    this.machines.set(machine, { incarnation, sequence, arrivedAt, newsFrom, running });
+    const machine = { endpoint, incarnation, sequence, arrivedAt, newsFrom, running };
+    this.machines.set(id, machine);
+    return machine;
   }
 
   /** Number of the job's tasks that are known to run. */
   runningTasks(job: string): number {
-    const now = this.now();
-    let count = 0;
-    for (const machine of this.machines.values())
-      if (this.news.isCurrent(machine, false, now)) count += machine.running.get(job) ?? 0;
-    return count;
+    return this.currentSummary().running.get(job) ?? 0;
   }
 
   /** Returns the jobs that are known to run; null if no machine's state is known. */
   report(): ProgressReport | null {
-    const now = this.now();
+    const { machines, running } = this.currentSummary();
+    if (machines === 0) return null;
     const jobs = new Map<string, Progress>();
-    let isEmpty = true;
+    for (const [job, count] of running) jobs.set(job, { done: 0, running: count });
+    return { epoch: this.epoch, jobs, uncertain: NO_JOBS };
+  }
+
+  /** The endpoints of machines that report to this controller, and that have to answer a request before that counts. */
+  endpointsToAsk(): string[] {
+    const now = this.now();
+    return [...this.machines.values()].flatMap((machine) => {
+      const isReporting = this.news.isCurrent({ newsFrom: machine.arrivedAt }, false, now);
+      return isReporting && !this.news.isCurrent(machine, false, now) ? [machine.endpoint] : [];
+    });
+  }
+
+  private currentSummary(): Summary {
+    const now = this.now();
+    if (!this.summary || now - this.summary.at > MAX_SUMMARY_AGE_MS)
+      this.summary = this.summarize(now);
+    return this.summary;
+  }
+
+  private summarize(now: number): Summary {
+    const summary: Summary = { at: now, machines: 0, running: new Map() };
     for (const [id, machine] of this.machines) {
-      if (!this.news.isCurrent({ newsFrom: machine.arrivedAt }, false, now)) {
-        this.machines.delete(id);
-        continue;
-      }
+      if (now - machine.arrivedAt > RETENTION_MS) this.machines.delete(id);
       if (!this.news.isCurrent(machine, false, now)) continue;
-      isEmpty = false;
-      for (const [job, running] of machine.running)
-        jobs.set(job, { done: 0, running: (jobs.get(job)?.running ?? 0) + running });
+      summary.machines++;
+      for (const [job, count] of machine.running)
+        summary.running.set(job, (summary.running.get(job) ?? 0) + count);
     }
-    return isEmpty ? null : { epoch: this.epoch, jobs, uncertain: NO_JOBS };
+    return summary;
   }
 }
 
--- a/src/progress/progress-exchange.ts
+++ b/src/progress/progress-exchange.ts
@@ -59,7 +59,7 @@
       term: () => deps.term(),
       leaderName: () => deps.leaderName(),
     });
-    this.inquiry = new MachineInquiry(runtime, this.observed, () => this.jobs.endpointsToAsk());
+    this.inquiry = new MachineInquiry(runtime, this.observed, () => this.endpointsToAsk());
     this.leaderReports = this.createWriter(
       LEADER_SOURCE,
       () => this.leaderReport(),
@@ -108,6 +108,12 @@
     return isUnheard ? (this.deps.term()?.progressReport() ?? null) : null;
   }
 
+  /** The machines that tell what the leader can't know. At a takeover none is asked. */
+  private endpointsToAsk(): Set<string> {
+    const reporting = this.jobs.dependsOnStoredReports() ? this.observed.endpointsToAsk() : [];
+    return new Set([...this.jobs.endpointsToAsk(), ...reporting]);
+  }
+
   /** What this follower hears, as long as there is a leader that does not hear it: at a takeover nobody reads it. */
   private observerReport(): ProgressReport | null {
     return this.jobs.dependsOnStoredReports() ? this.observed.report() : null;
--- a/src/progress/progress-pages.ts
+++ b/src/progress/progress-pages.ts
@@ -3,13 +3,13 @@
 import type { ProgressReport } from './progress-report.js';
 import { type StoredJobProgress, pageKey, readPage } from './stored-progress.js';
 
-/** Space that an entry takes at the most, in bytes of JSON: an id, and an endpoint or two counts. */
-const MAX_ENTRY_BYTES = 70;
 /** Space that a page needs beside its entries, in bytes of JSON. */
 const PAGE_OVERHEAD_BYTES = 20;
 
 interface Page {
   entries: Map<string, StoredJobProgress>;
+  /** Size of the entries as JSON, in bytes. */
+  bytes: number;
   /** Whether the stored page is as this one; false also if the outcome of a write is unknown. */
   isStored: boolean;
 }
@@ -21,66 +21,77 @@
   value: { jobs: StoredJobProgress[] };
 }
 
-/** The pages of one report. A job stays on its page as long as it runs or is uncertain. */
+/** The pages of one report. A job stays on its page as long as it runs or is uncertain, and fits. */
 export class ProgressPages {
   private readonly pages: Page[] = [];
   private readonly pageOfJob = new Map<string, number>();
-  private readonly capacity: number;
+  private readonly maxBytes: number;
 
   /** `maxValueBytes`: maximum size of a value in the state service. */
   constructor(
     private readonly source: string,
     maxValueBytes: number,
   ) {
-    this.capacity = Math.max(
-      1,
-      Math.floor((maxValueBytes - PAGE_OVERHEAD_BYTES) / MAX_ENTRY_BYTES),
-    );
+    this.maxBytes = maxValueBytes - PAGE_OVERHEAD_BYTES;
   }
 
   /** Takes over the pages that an earlier leader, or an earlier process, has stored. */
   load(pairs: readonly KeyValue[]): void {
     const values = new Map(pairs.map(({ key, value }) => [key, value]));
     for (let page = 0; values.has(pageKey(this.source, page)); page++) {
-      const stored = readPage(values.get(pageKey(this.source, page)));
-      // The limit of a value may have been higher.
-      const kept = stored.slice(0, this.capacity);
-      const entries = new Map(kept.map((entry) => [entry[0], entry]));
-      this.pages.push({ entries, isStored: kept.length === stored.length });
-      for (const id of entries.keys()) this.pageOfJob.set(id, page);
+      const entries = readPage(values.get(pageKey(this.source, page)));
+      this.pages.push({ entries: new Map(), bytes: 0, isStored: true });
+      // The limit of a value may have been higher: then the last entries get other pages.
+      for (const entry of entries) if (this.fits(page, entry)) this.add(page, entry);
+      this.pages[page].isStored = this.pages[page].entries.size === entries.length;
     }
   }
 
   /** Brings the pages up to date. The counts of a job are only updated together with a change of conditions. */
   update({ jobs, uncertain }: ProgressReport): void {
-    for (const [id, page] of this.pageOfJob)
-      if (!uncertain.has(id) && (jobs.get(id)?.running ?? 0) === 0) this.remove(id, page);
+    for (const id of this.pageOfJob.keys())
+      if (!uncertain.has(id) && (jobs.get(id)?.running ?? 0) === 0) this.remove(id);
     for (const [id, { done, running }] of jobs)
       if (running > 0 && !uncertain.has(id)) this.put([id, [done, running]]);
     for (const entry of uncertain) this.put(entry);
   }
 
-  private remove(id: string, page: number): void {
+  private put(entry: StoredJobProgress): void {
+    const [id, progress] = entry;
+    const page = this.pageOfJob.get(id);
+    const previous = page === undefined ? undefined : this.pages[page].entries.get(id);
+    if (previous && isSameCondition(previous[1], progress)) return;
+    this.remove(id);
+    this.add(page !== undefined && this.fits(page, entry) ? page : this.pageFor(entry), entry);
+  }
+
+  private remove(id: string): void {
+    const position = this.pageOfJob.get(id);
+    const page = position === undefined ? undefined : this.pages[position];
+    const entry = page?.entries.get(id);
+    if (!page || !entry) return;
+    page.bytes -= bytesOf(entry);
+    page.entries.delete(id);
+    page.isStored = false;
     this.pageOfJob.delete(id);
-    this.pages[page].entries.delete(id);
-    this.pages[page].isStored = false;
   }
 
-  private put(entry: StoredJobProgress): void {
-    const [id, progress] = entry;
-    const position = this.pageOfJob.get(id) ?? this.pageWithRoom();
+  private add(position: number, entry: StoredJobProgress): void {
     const page = this.pages[position];
-    const previous = page.entries.get(id);
-    if (previous && isSameCondition(previous[1], progress)) return;
-    this.pageOfJob.set(id, position);
-    page.entries.set(id, entry);
+    page.entries.set(entry[0], entry);
+    page.bytes += bytesOf(entry);
     page.isStored = false;
+    this.pageOfJob.set(entry[0], position);
   }
 
-  private pageWithRoom(): number {
-    const position = this.pages.findIndex(({ entries }) => entries.size < this.capacity);
+  private fits(page: number, entry: StoredJobProgress): boolean {
+    return this.pages[page].bytes + bytesOf(entry) <= this.maxBytes;
+  }
+
+  private pageFor(entry: StoredJobProgress): number {
+    const position = this.pages.findIndex((_page, index) => this.fits(index, entry));
     if (position >= 0) return position;
-    this.pages.push({ entries: new Map(), isStored: false });
+    this.pages.push({ entries: new Map(), bytes: 0, isStored: false });
     return this.pages.length - 1;
   }
 
@@ -99,6 +110,11 @@
   }
 }
 
+/** Size of an entry and the comma after it. */
+function bytesOf(entry: StoredJobProgress): number {
+  return Buffer.byteLength(JSON.stringify(entry)) + 1;
+}
+
 function isSameCondition(previous: StoredJobProgress[1], next: StoredJobProgress[1]): boolean {
   return previous === next || (Array.isArray(previous) && Array.isArray(next));
 }
--- a/src/progress/progress-writer.ts
+++ b/src/progress/progress-writer.ts
@@ -9,7 +9,7 @@
 /** Interval between two stamps, if the share of the write limit allows it. */
 const WRITE_INTERVAL_MS = 400;
 /** Share of the state service's write limit that one controller may use for stamps and pages. */
-const WRITE_LIMIT_SHARE = 0.15;
+const WRITE_LIMIT_SHARE = 0.25;
 
 /** Dependencies of the writer. */
 export interface ProgressWriterDependencies {
