--- a/test/answer-age.test.ts
+++ b/test/answer-age.test.ts
@@ -181,6 +181,25 @@
     assert.equal(survey.right, survey.polls);
   });
 
+// Guards against answers of a leader that resumes after another one has started jobs of which it knows nothing.
+test('a leader that resumes after a suspension does not answer from what it knew before', async () => {
+  const cluster = await quietCluster(7);
+  const leader = cluster.leader()!;
+  cluster.freeze(leader, 12_000);
+  await cluster.run(1);
+  const job = submit(cluster, {});
+  await runUntilPlaced(cluster, job);
+  assert.notEqual(cluster.leader(), leader);
+  await cluster.run((cluster.processes.get(leader)!.frozenUntil - cluster.clock.time) / 1000 - 0.1);
+  assert.ok(cluster.invariants.placesByTask.has(`${job}/0`), 'the task still runs');
+  for (let i = 0; i < 100; i++) {
+    void cluster.users.poll(job, leader);
+    await cluster.run(0.01);
+  }
+  await cluster.run(3);
+  assert.deepEqual(staleAnswers(cluster), []);
+});
+
 testScenarios(
   'no answer is older than allowed at any controller, while zones and controllers are cut off and leaders are replaced',
   [21, 22, 23, 24],
--- a/test/job-reads.test.ts
+++ b/test/job-reads.test.ts
@@ -4,11 +4,15 @@
 import { Cluster } from './sim/cluster.js';
 import { SERVICE } from './sim/jobs.js';
 import { clientRuntime } from './sim/client-runtime.js';
+import { quietLog } from './sim/quiet-log.js';
 import { requestFrom } from './sim/user-request.js';
 import { observedJob } from './sim/observed-job.js';
 import { pollRequest, submitRequest } from './sim/wire/users.js';
 import { StateStore } from '../src/state-store/client.js';
+import { JobsApi } from '../src/jobs/api.js';
 import { JobCache } from '../src/jobs/job-cache.js';
+import type { ApiResponse } from '../src/jobs/responses.js';
+import { jobStateResponse } from '../src/wire/users.js';
 
 test('a job accepted by one controller is known to all at once, and many polls share reads of the state service', async () => {
   const cluster = new Cluster({ seed: 18 });
@@ -66,3 +70,37 @@
   cluster.state.beginOutage(3000);
   assert.equal(await refreshCache(), false);
 });
+
+// Guards against an answer that is older than what another controller told meanwhile.
+test('a poll that has waited for the progress of a job tells that it was cancelled in the meantime', async () => {
+  const cluster = new Cluster({ seed: 22 });
+  cluster.network.lossRate = 0;
+  await cluster.run(4);
+  const job = cluster.users.newJob({ ...SERVICE, tasks: 1 });
+  cluster.invariants.jobs.set(job.id, observedJob(job, cluster.clock.time));
+  assert.equal((await requestFrom(cluster, 'n0', submitRequest(job))).status, 201);
+  const runtime = clientRuntime(cluster);
+  const store = new StateStore(runtime, { address: 'state:1', nodes: 1, rps: 100, writeRps: 50 });
+  let isKnown = false;
+  const api = new JobsApi({
+    settings: { teams: [] },
+    store,
+    cache: new JobCache(runtime, store, 50),
+    mayServe: () => true,
+    types: () => [],
+    progress: {
+      progressOf: () => (isKnown ? { done: 0, running: 1 } : null),
+      untilKnown: async () => {
+        await cluster.users.cancel(job.id, 'n1');
+        isKnown = true;
+      },
+    },
+    beforeConfirm: () => undefined,
+    wallMs: () => 0,
+    log: quietLog,
+  });
+  let response: ApiResponse | null = null;
+  void api.poll(job.id).then((answer) => (response = answer));
+  await cluster.run(4);
+  assert.deepEqual(response!.body, jobStateResponse(job.id, 'cancelled', { done: 0, running: 0 }));
+});
--- a/test/progress-reports.test.ts
+++ b/test/progress-reports.test.ts
@@ -16,6 +16,7 @@
 import { MAX_REPORT_AGE_MS, ReportedProgress } from '../src/progress/reported-progress.js';
 import { readStoredProgress, stampKey } from '../src/progress/stored-progress.js';
 import type { Heartbeat } from '../src/wire/model.js';
+import { MachineNews } from '../src/workers/machine-news.js';
 
 const JOB = 'run-000001';
 
@@ -168,6 +169,19 @@
   return { ...place, incarnation: 1, sequence, token: 1, preemptionNoticeS: null, tasks: [task] };
 }
 
+test('a machine that reports every 4 s is known for longer than 3 s, but not if its zone seems to be cut off', () => {
+  const news = new MachineNews(4);
+  const machine = { newsFrom: -Infinity };
+  news.reportArrived(machine, 0);
+  assert.ok(!news.isCurrent(machine, false, 0), 'a report that comes first may be old');
+  news.responseArrived(machine, 100);
+  news.reportArrived(machine, 4000);
+  assert.ok(news.isCurrent(machine, false, 9900));
+  assert.ok(!news.isCurrent(machine, false, 10_100));
+  assert.ok(news.isCurrent(machine, true, 6400));
+  assert.ok(!news.isCurrent(machine, true, 6600));
+});
+
 // Guards against held reports, which may arrive in a burst, as promptly one after the other as others do.
 test('the reports of a worker count only from its answer to a request on, and as long as they come promptly', () => {
   let now = 0;
