Raise the token with each stop; leave jobs without progress out of the reports

Stops now carry a token above that of the start, so that the exit, which their response reports, is fenced already. And a leader's report leaves out jobs of which nothing runs or is finished; they count as not started, in older builds too.

--- a/src/leadership/job-conditions.ts
+++ b/src/leadership/job-conditions.ts
@@ -51,7 +51,9 @@
     const jobs = new Map<string, Progress>();
     const uncertain = new Map<string, string | null>();
     for (const job of this.deps.jobs.all()) {
-      jobs.set(job.spec.id, progressOf(job));
+      const progress = progressOf(job);
+      // A job that is missing counts as not started.
+      if (progress.done > 0 || progress.running > 0) jobs.set(job.spec.id, progress);
       const { isCertain, endpoint } = this.assess(job, zonesOutOfContact, now);
       if (!isCertain) uncertain.set(job.spec.id, endpoint);
     }
--- a/src/workers/command-sender.ts
+++ b/src/workers/command-sender.ts
@@ -107,16 +107,14 @@
     const { runtime, table } = this.deps;
     const now = runtime.clock.now();
     if (!this.maySend(machine, probe, now)) return;
-    const { commands, starts, needsToken, nothingOutstanding }: CommandBatch = machine.stored
+    const { commands, starts, stops, needsToken, nothingOutstanding }: CommandBatch = machine.stored
       ? collectCommands(machine, this.deps, now)
       : EMPTY_BATCH;
     table.backlog.pending.delete(machine);
     if (nothingOutstanding) table.backlog.clear(machine);
     if (commands.length === 0 && !needsToken && !probe) return;
-    // Forgets alone wait for the next heartbeat; here they are added to a request that is sent anyway. Advancing the
-    // token keeps a duplicate of the start, which has a lower token, from starting a forgotten attempt again.
-    const forgets = machine.stored ? takeDueForgets(machine, now) : [];
-    if (forgets.length > 0) table.advanceToken(machine);
+    for (const attempt of stops) table.fenceStart(attempt);
+    const forgets = machine.stored ? this.takeForgets(machine, now) : [];
     // While this controller is congested, responses wait unread: a shorter timeout would only cost another request.
     const timeoutMs =
       commands.length === 0 && !this.probes.isCongested() ? PROBE_TIMEOUT_MS : Infinity;
@@ -128,6 +126,16 @@
     );
   }
 
+  /**
+   * Forgets alone wait for the next heartbeat; these are added to a request that is sent anyway. Advancing the token keeps
+   * a duplicate of the start, which has a lower token, from starting a forgotten attempt again.
+   */
+  private takeForgets(machine: Machine, now: number): WorkerCommand[] {
+    const forgets = takeDueForgets(machine, now);
+    if (forgets.length > 0) this.deps.table.advanceToken(machine);
+    return forgets;
+  }
+
   private async send(
     machine: Machine,
     commands: WorkerCommand[],
--- a/src/workers/commands.ts
+++ b/src/workers/commands.ts
@@ -13,6 +13,8 @@
   commands: WorkerCommand[];
   /** The attempts that the commands start. */
   starts: Set<TaskAttempt>;
+  /** The attempts that the commands stop. */
+  stops: TaskAttempt[];
   /** Whether the request is to be sent even without commands: attempts are `fencing` until the machine reports its token. */
   needsToken: boolean;
   /** Whether the machine has no commands left to be sent, now or later. */
@@ -23,6 +25,7 @@
 export const EMPTY_BATCH: CommandBatch = {
   commands: [],
   starts: new Set(),
+  stops: [],
   needsToken: false,
   nothingOutstanding: false,
 };
@@ -42,9 +45,11 @@
 ): WorkerCommand[] {
   const commands = machine.inFlight ? [] : takeDueForgets(machine, now);
   if (commands.length > 0) table.advanceToken(machine);
-  for (const attempt of machine.attempts.values())
-    if (attempt.stop && attempt.mayBeOnMachine())
-      commands.push({ op: 'stop', ...refOf(attempt), graceS: attempt.stop.graceS });
+  for (const attempt of machine.attempts.values()) {
+    if (!attempt.stop || !attempt.mayBeOnMachine()) continue;
+    if (!machine.inFlight) table.fenceStart(attempt);
+    commands.push({ op: 'stop', ...refOf(attempt), graceS: attempt.stop.graceS });
+  }
   return commands;
 }
 
@@ -73,6 +78,7 @@
   const stopCommands: WorkerCommand[] = [];
   const startCommands: WorkerCommand[] = [];
   const starts = new Set<TaskAttempt>();
+  const stops: TaskAttempt[] = [];
   let nothingOutstanding = true;
   let needsToken = false;
   for (const attempt of machine.attempts.values()) {
@@ -82,7 +88,9 @@
       needsToken = true;
     } else if (attempt.stop && attempt.startSent) {
       nothingOutstanding = false;
-      if (isStopDue(attempt, now)) stopCommands.push(takeStop(attempt, attempt.stop, now));
+      if (!isStopDue(attempt, now)) continue;
+      stopCommands.push(takeStop(attempt, attempt.stop, now));
+      stops.push(attempt);
     } else if (!attempt.startSent && !attempt.stop) {
       nothingOutstanding = false;
       if (!machine.isReconciled() || !conditions.cancellationsAreFresh()) continue;
@@ -90,7 +98,8 @@
       startCommands.push({ op: 'start', ...refOf(attempt) });
     }
   }
-  return { commands: [...stopCommands, ...startCommands], starts, needsToken, nothingOutstanding };
+  const commands = [...stopCommands, ...startCommands];
+  return { commands, starts, stops, needsToken, nothingOutstanding };
 }
 
 function isStopDue(attempt: TaskAttempt, now: number): boolean {
--- a/src/workers/machine-table.ts
+++ b/src/workers/machine-table.ts
@@ -106,6 +106,14 @@
     return this.tokens.advance(machine);
   }
 
+  /**
+   * Makes the next message to the attempt's machine carry a token above that of its start. Sent with a stop, it lets the
+   * task be started elsewhere as soon as the exit is reported.
+   */
+  fenceStart(attempt: TaskAttempt): void {
+    this.tokens.ensureAbove(attempt.machine, attempt.startToken);
+  }
+
   /** Returns the token for a heartbeat response; every `intervalMs` the machine has to acknowledge a new one. */
   requestTokenAck(machine: Machine, now: number, intervalMs: number): number {
     return this.tokens.requestAck(machine, now, intervalMs);
