Raise the stamp's version with each transaction of a stored report

A report that does not fit in one transaction was stored page by page without a stamp, each under the version of the old stamp. A transaction whose outcome was not known, and that was held up, could be applied after newer pages had been stored in the same way, and put old pages in their place, which later stamps then confirmed. Found by reading.

Now each transaction writes the stamp, whose sequence rises only once all pages are stored. So each needs, and raises, the version that the one before it has left, and a late one changes nothing. The new test fails on the code before (the first transactions have no stamp).

--- a/src/progress/progress-writer.ts
+++ b/src/progress/progress-writer.ts
@@ -3,8 +3,8 @@
 import { type Clock, sleep } from '../runtime.js';
 import type { StateStore } from '../state-store/client.js';
 import type { ProgressReport } from './progress-report.js';
-import { type PageWrite, ProgressPages } from './progress-pages.js';
-import { readStamp, reportPrefix, stampKey } from './stored-progress.js';
+import { ProgressPages } from './progress-pages.js';
+import { type ProgressStamp, readStamp, reportPrefix, stampKey } from './stored-progress.js';
 
 /** Interval between two stamps, if the share of the write limit allows it. */
 const WRITE_INTERVAL_MS = 400;
@@ -84,37 +84,27 @@
     this.basis = { epoch, stampVersion: entry?.version ?? 0, sequence, pages };
   }
 
-  /** Writes as many changed pages as a transaction may hold, and a stamp if these are all. */
+  /**
+   * Writes as many changed pages as a transaction may hold. The sequence of the stamp rises only if these are all. The
+   * stamp is written in any case, so that its version rises: a transaction that is held up changes nothing later.
+   */
   private async write(basis: StoredBasis, report: ProgressReport): Promise<number> {
     const { store, source, maxMutations } = this.deps;
     basis.pages.update(report);
     const changed = basis.pages.changed();
-    const isComplete = changed.length < maxMutations;
-    const writes = changed.slice(0, maxMutations);
+    const writes = changed.slice(0, maxMutations - 1);
+    const sequence = basis.sequence + (writes.length === changed.length ? 1 : 0);
+    const stamp: ProgressStamp = { epoch: basis.epoch, sequence };
     const mutations: Mutation[] = writes.map(({ key, value }) => ({ put: key, value }));
-    if (isComplete) mutations.push(stampAfter(basis, source));
+    mutations.push({ put: stampKey(source), value: stamp });
     const result = await store.compareAndSwap(
       [...this.deps.preconditions(), { key: stampKey(source), version: basis.stampVersion }],
       mutations,
     );
-    if (result.kind === 'committed') this.recordCommit(basis, writes, isComplete, result.revision);
-    else if (result.kind !== 'rejected') this.basis = null;
+    if (result.kind === 'committed') {
+      basis.pages.markStored(writes);
+      Object.assign(basis, { sequence, stampVersion: result.revision });
+    } else if (result.kind !== 'rejected') this.basis = null;
     return mutations.length;
   }
-
-  private recordCommit(
-    basis: StoredBasis,
-    writes: PageWrite[],
-    isComplete: boolean,
-    revision: number,
-  ): void {
-    basis.pages.markStored(writes);
-    if (!isComplete) return;
-    basis.sequence++;
-    basis.stampVersion = revision;
-  }
-}
-
-function stampAfter({ epoch, sequence }: StoredBasis, source: string): Mutation {
-  return { put: stampKey(source), value: { epoch, sequence: sequence + 1 } };
 }
--- a/test/progress-reports.test.ts
+++ b/test/progress-reports.test.ts
@@ -12,6 +12,7 @@
 import { ObservedTasks } from '../src/progress/observed-tasks.js';
 import { ProgressPages } from '../src/progress/progress-pages.js';
 import { ProgressReader } from '../src/progress/progress-reader.js';
+import { ProgressWriter } from '../src/progress/progress-writer.js';
 import type { ProgressReport } from '../src/progress/progress-report.js';
 import { MAX_REPORT_AGE_MS, ReportedProgress } from '../src/progress/reported-progress.js';
 import { readStoredProgress, stampKey } from '../src/progress/stored-progress.js';
@@ -139,6 +140,41 @@
   );
 });
 
+// Guards against a held transaction with pages that is applied after newer pages were stored, without a new stamp.
+test('each transaction of a report needs the version of the stamp and raises it, whether or not the report is complete', async () => {
+  const conditions = Array.from({ length: 200 }, () => 'running');
+  let now = 0;
+  const sequences: number[] = [];
+  const writer = new ProgressWriter({
+    clock: { now: () => now, after: (ms, callback) => after(ms, callback) },
+    store: {
+      scan: () => Promise.resolve({ pairs: [], revision: 1 }),
+      compareAndSwap: (preconditions, mutations) => {
+        const version = sequences.length === 0 ? 0 : 100 + sequences.length;
+        assert.deepEqual(preconditions, [{ key: stampKey('leader'), version }]);
+        assert.ok(mutations.length <= 3);
+        const stamp = mutations.find((one) => 'put' in one && one.put === stampKey('leader'));
+        sequences.push((stamp as { value: { sequence: number } }).value.sequence);
+        return Promise.resolve({ kind: 'committed', revision: 100 + sequences.length });
+      },
+    },
+    source: 'leader',
+    report: () => (sequences.length < 8 ? reportOfConditions(conditions) : null),
+    preconditions: () => [],
+    maxValueBytes: MAX_VALUE_BYTES,
+    maxMutations: 3,
+    writesPerS: 100,
+  });
+  const after = (ms: number, callback: () => void): (() => void) => {
+    now += ms;
+    if (sequences.length < 8) setImmediate(callback);
+    return () => undefined;
+  };
+  void writer.run();
+  while (sequences.length < 8) await new Promise((done) => setImmediate(done));
+  assert.deepEqual(sequences, [0, 0, 0, 1, 2, 3, 4, 5]);
+});
+
 function reportOfConditions(conditions: readonly string[]): ProgressReport {
   const jobs = new Map<string, { done: number; running: number }>();
   const uncertain = new Map<string, string | null>();
