Say once which heartbeat is newer, what has not started and which report is current; compose a report once per write

From a last reading of the change; behaviour stays as it is. ObservedTasks uses isNewer of the heartbeat applier, JobConditions the NOT_STARTED of the reports. The writer composed the whole report up to three times for each stamp; now once, and once more only after it has read what is stored. broadcastProgress is private again. The age of a report, and whether this node leads, are asked in one place each.

--- a/src/leadership/job-conditions.ts
+++ b/src/leadership/job-conditions.ts
@@ -1,7 +1,7 @@
 /** What the leader knows about whether tasks of its jobs run. */
 import type { Job } from '../jobs/job.js';
 import { type JobTable, type Progress, progressOf } from '../jobs/job-table.js';
-import type { ProgressReport } from '../progress/progress-report.js';
+import { NOT_STARTED, type ProgressReport } from '../progress/progress-report.js';
 import type { Machine } from '../workers/machine.js';
 import type { MachineNews } from '../workers/machine-news.js';
 import type { FailoverRecovery } from './failover-recovery.js';
@@ -24,7 +24,6 @@
 }
 
 const CERTAIN: Assessment = { isCertain: true, endpoint: null };
-const NOT_STARTED: Progress = { done: 0, running: 0 };
 
 /**
  * A job runs if a task is known to run on a machine whose state is known at present. Otherwise it is uncertain while one
--- a/src/peers/status-broadcasts.ts
+++ b/src/peers/status-broadcasts.ts
@@ -33,7 +33,7 @@
   }
 
   /** Broadcasts what this node knows of the live jobs, if it leads. */
-  broadcastProgress(): void {
+  private broadcastProgress(): void {
     const { self, attestations } = this.deps;
     const report = this.deps.term()?.progressReport();
     if (!report || report.epoch === null) return;
--- a/src/progress/job-progress.ts
+++ b/src/progress/job-progress.ts
@@ -124,7 +124,7 @@
   }
 
   private isLeading(): boolean {
-    return this.deps.term()?.isLeading() === true;
+    return this.leadingTerm() !== null;
   }
 
   private updateState(): void {
--- a/src/progress/observed-tasks.ts
+++ b/src/progress/observed-tasks.ts
@@ -1,6 +1,7 @@
 /** The tasks on the machines whose reports a controller answers for the leader, as these reports tell them. */
 import type { Progress } from '../jobs/job-table.js';
 import type { Heartbeat } from '../wire/model.js';
+import { isNewer } from '../workers/heartbeat-applier.js';
 import { MachineNews } from '../workers/machine-news.js';
 import type { ProgressReport } from './progress-report.js';
 
@@ -61,15 +62,10 @@
   }
 
   /** Returns null for a report that is not newer than the last one of its machine. */
-  private record({
-    machine: id,
-    endpoint,
-    incarnation,
-    sequence,
-    tasks,
-  }: Heartbeat): ObservedMachine | null {
+  private record(heartbeat: Heartbeat): ObservedMachine | null {
+    const { machine: id, endpoint, incarnation, sequence, tasks } = heartbeat;
     const previous = this.machines.get(id);
-    if (previous && !isNewer(incarnation, sequence, previous)) return null;
+    if (previous && !isNewer(heartbeat, previous, previous.sequence)) return null;
     const running = new Map<string, number>();
     for (const { job, state } of tasks)
       if (state === 'running') running.set(job, (running.get(job) ?? 0) + 1);
@@ -122,8 +118,3 @@
     return summary;
   }
 }
-
-function isNewer(incarnation: number, sequence: number, previous: ObservedMachine): boolean {
-  if (incarnation !== previous.incarnation) return incarnation > previous.incarnation;
-  return sequence > previous.sequence;
-}
--- a/src/progress/progress-report.ts
+++ b/src/progress/progress-report.ts
@@ -13,7 +13,8 @@
   uncertain: ReadonlyMap<string, string | null>;
 }
 
-const NOT_STARTED: Progress = { done: 0, running: 0 };
+/** The progress of a job of which nothing has run. */
+export const NOT_STARTED: Progress = { done: 0, running: 0 };
 
 /** The progress of a job according to the report, or null if the leader did not know it. */
 export function progressIn({ jobs, uncertain }: ProgressReport, id: string): Progress | null {
--- a/src/progress/progress-writer.ts
+++ b/src/progress/progress-writer.ts
@@ -58,30 +58,27 @@
 
   /** Returns the number of mutations that were sent. */
   private async writeIfNeeded(): Promise<number> {
-    if (this.deps.report() === null) {
-      this.basis = null;
-      return 0;
+    let report = this.deps.report();
+    if (report && !this.basis) {
+      this.basis = await this.readBasis(report.epoch);
+      // The age of a stamp rests on this: it is composed after the previous one was found stored.
+      report = this.deps.report();
     }
-    if (!this.basis) await this.readBasis();
-    // Composed after the previous stamp was found stored, on which the age of a stamp rests.
-    const report = this.deps.report();
-    if (!this.basis || report === null) return 0;
-    if (report.epoch === this.basis.epoch) return this.write(this.basis, report);
+    if (this.basis && report?.epoch === this.basis.epoch) return this.write(this.basis, report);
     this.basis = null;
     return 0;
   }
 
-  private async readBasis(): Promise<void> {
+  private async readBasis(epoch: number | null): Promise<StoredBasis | null> {
     const { store, source, maxValueBytes } = this.deps;
-    const epoch = this.deps.report()?.epoch ?? null;
     const snapshot = await store.scan(reportPrefix(source));
-    if (!snapshot || epoch === null) return;
+    if (!snapshot || epoch === null) return null;
     const entry = snapshot.pairs.find(({ key }) => key === stampKey(source));
     const stamp = readStamp(entry?.value);
     const pages = new ProgressPages(source, maxValueBytes);
     pages.load(snapshot.pairs);
     const sequence = stamp?.epoch === epoch ? stamp.sequence : 0;
-    this.basis = { epoch, stampVersion: entry?.version ?? 0, sequence, pages };
+    return { epoch, stampVersion: entry?.version ?? 0, sequence, pages };
   }
 
   /**
--- a/src/progress/reported-progress.ts
+++ b/src/progress/reported-progress.ts
@@ -39,14 +39,18 @@
 
   /** The endpoints of machines to ask for the jobs of which the leader is uncertain; none if the report is too old. */
   endpointsToAsk(now: number): Set<string> {
-    if (!this.report || this.ageMs(now) > MAX_REPORT_AGE_MS) return new Set();
-    return new Set([...this.report.uncertain.values()].filter((endpoint) => endpoint !== null));
+    const endpoints = this.currentReport(now)?.uncertain.values() ?? [];
+    return new Set([...endpoints].filter((endpoint) => endpoint !== null));
   }
 
   /** The progress of a job, or null if the report is too old or its leader did not know the progress. */
   progressOf(id: string, now: number): Progress | null {
-    if (!this.report || this.ageMs(now) > MAX_REPORT_AGE_MS) return null;
-    return progressIn(this.report, id);
+    const report = this.currentReport(now);
+    return report && progressIn(report, id);
+  }
+
+  private currentReport(now: number): ProgressReport | null {
+    return this.ageMs(now) > MAX_REPORT_AGE_MS ? null : this.report;
   }
 }
 
--- a/src/workers/heartbeat-applier.ts
+++ b/src/workers/heartbeat-applier.ts
@@ -101,7 +101,11 @@
 }
 
 /** Whether a heartbeat is newer than the one with the sequence number `lastSequence` in the machine's incarnation. */
-export function isNewer(heartbeat: Heartbeat, machine: Machine, lastSequence: number): boolean {
+export function isNewer(
+  heartbeat: Heartbeat,
+  machine: { incarnation: number },
+  lastSequence: number,
+): boolean {
   if (heartbeat.incarnation !== machine.incarnation)
     return heartbeat.incarnation > machine.incarnation;
   return heartbeat.sequence > lastSequence;
--- a/src/workers/machine-news.ts
+++ b/src/workers/machine-news.ts
@@ -1,16 +1,17 @@
 /** How old the leader's knowledge of a machine may be. */
+
 /** Reports come in intervals that are up to a quarter longer than the regular one. */
 const MAX_INTERVAL_FACTOR = 1.25;
 /** Time by which a report may be late without its machine counting as unheard. */
 const REPORT_DELAY_MS = 1000;
+/** Age up to which the news of a machine is current if it may be cut off, in milliseconds. */
+const MAX_SUSPECT_AGE_MS = 2500;
+
 /** What is known of the age of a machine's state: the time of which it is known, or an earlier one. */
 export interface DatedState {
   newsFrom: number;
 }
 
-/** Age up to which the news of a machine is current if it may be cut off, in milliseconds. */
-const MAX_SUSPECT_AGE_MS = 2500;
-
 /**
  * Tells of which machines the leader knows the present state. A worker reports changes within half a second, and it
  * sends a report only after the one before was answered or given up. So a report that comes within the usual interval
